--- /dev/null
+++ b/curlewhall/__init__.py
@@ -0,0 +1,1 @@
+"""curlewhall: places and shapes video sessions on media servers with shared links."""
--- /dev/null
+++ b/curlewhall/simhost/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter between the decision module and the simulator's wire. It decides nothing."""
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,86 @@
+"""The six rules, a table each."""
+
+import pytest
+from conftest import SECOND, sent, verbs
+
+
+@pytest.mark.parametrize(("product", "how", "after", "expected"), [
+    ("cheap", "late", 0.4, "allocate"), ("cheap", "error", 0.1, "allocate"), ("cheap", "late", 3, "decline"),
+    ("paid", "full", 0.1, "allocate"), ("paid", "unreached", 0.1, "allocate"),
+    ("paid", "not_sent", 0.1, "allocate"), ("paid", "late", 3, "fail"), ("paid", "error", 0.1, "fail"),
+    ("paid", "broken", 0.1, "fail"), ("paid", "withdrawn", 0.1, "fail"),
+])
+def test_an_end_without_a_final_answer_is_followed_by_one(bench, product, how, after, expected):
+    play, said = bench.ask(product)
+    bench.wait(after)
+    answers = [a for a in bench.end(play, how, sent(said)[0][2]) if a[0] != "rung"]
+    assert [a[:2] for a in answers] == [(expected, play)]
+
+
+@pytest.mark.parametrize("how", ["ok", "late", "broken"])
+def test_nothing_follows_a_final_end_or_a_viewer_who_left(bench, how):
+    play, said = bench.ask()
+    node = sent(said)[0][2]
+    assert bench.end(play, how, node, final=True) == []
+    play, said = bench.ask()
+    bench.front.left(bench.now, play)
+    assert bench.end(play, how, sent(said)[0][2]) == []
+
+
+def test_the_requests_own_time_limit_counts(bench):
+    said = bench.ask("paid", limit=4321)[1]
+    assert sent(said)[0][3] == 4321
+
+
+@pytest.mark.parametrize("state", ["draining", "gone"])
+def test_nothing_goes_to_a_node_told_draining_or_gone(bench, state):
+    bench.list("changes", ("n0", {"state": state}), ("n1", {"state": state}))
+    assert {sent(bench.ask()[1])[0][2] for _ in range(8)} <= {"n2", "n3"}
+
+
+def test_a_node_missing_from_a_whole_list_is_gone_and_a_failed_one_changes_nothing(bench):
+    bench.list("whole", ("n3", {}))
+    bench.list("failed")
+    assert sent(bench.ask()[1])[0][2] == "n3"
+
+
+@pytest.mark.parametrize("sign", ["restart", "broken", "unreached", "new"])
+def test_a_node_that_may_be_cold_is_paced(bench, sign):
+    play, said = bench.ask(first=0, places=1)
+    if sign == "restart":
+        bench.list("changes", ("n0", {"started": bench.now}))
+    elif sign == "new":
+        bench.list("changes", ("n4", {}), ("n0", {"state": "gone"}))
+    else:
+        bench.end(play, sign, "n0", final=True)
+        bench.wait(3)
+    asked = [verbs(bench.ask(first=0, places=1)[1])[-1] for _ in range(6)]
+    assert asked.count("allocate") <= 2 and "decline" in asked
+
+
+def test_floor_and_seats(make):
+    bench = make(**{"specifics.seats": [2, 0, 0]})
+    rungs = [a[2] for _ in range(12) for a in bench.ask("paid")[1] if a[0] == "rung"]
+    assert rungs and min(rungs) >= 1
+    assert [verbs(bench.ask("dear")[1])[-1] for _ in range(3)] == ["allocate", "allocate", "decline"]
+
+
+def test_further_allocations_keep_to_the_budget(make):
+    bench = make(**{"rules.extra_per_request": 0.1, "rules.spare_allocations": 2,
+                    "rules.look_back": 5 * SECOND})
+    further = 0
+    for _ in range(10):
+        play, said = bench.ask()
+        further += len(sent(bench.end(play, "not_sent", sent(said)[0][2])))
+        bench.wait(0.1)
+    assert 1 <= further <= 3
+
+
+def test_never_two_allocations_out(make):
+    bench = make(**{"report.how": "on_probe"})
+    play, said = bench.ask()
+    probes, label = [a[1] for a in said if a[0] == "probe"], said[-1][2]
+    said = [a for n in probes for a in bench.front.probed(bench.now, n, "ok", 10, {"link_share": 0.1})]
+    said += bench.front.wake(bench.now, label)
+    said += [a for n in probes for a in bench.front.probed(bench.now, n, "ok", 10, {"link_share": 0.1})]
+    assert len(probes) == 2 and len(sent(said)) == 1
