--- a/curlewhall/interface.py
+++ b/curlewhall/interface.py
@@ -79,7 +79,7 @@
 
     def ended(self, now: int, play: str, number: int, node: str, how: Ending, final: bool, took: int,
               report: Report) -> Answers:
-        """Allocation `number` has ended; each does, once. Unless `final`, the play is still owed an answer."""
+        """Allocation `number` has ended; each does, once. Unless `final`, an answer is still owed."""
 
     def note(self, now: int, play: str, number: int, node: str, kind: NoteKind, value: float) -> Answers:
         """Something is told of a play under way."""
