--- a/curlewhall/policy.py
+++ b/curlewhall/policy.py
@@ -70,7 +70,7 @@
         self.takes, self.further = deque(), deque()  # for the budget of further allocations
         self.wakes, self.labels, self.probes, self.taken, self.out = {}, 0, 0, 0, []
         self.chain = [(self.in_time, self.answer), (self.rationed, self.again), (self.holding, self.health),
-                      (self.streaming, self.filled), (self.warming, self.thawed), (self.capping, None),
+                      (self.streaming, self.filled), (self.warming, self.thawed), (self.capping, None), (self.fitting, None),
                       (self.drawing, None), (self.shaping, None), (self.sending, self.settle)]
 
     # ---- called from outside, as interface.py tells
@@ -324,6 +324,14 @@
         ply.nodes = within
         return PASS if within else self.decline(ply)
 
+    def fitting(self, now, ply):
+        """Holders whose reported room lacks even the floor rung are passed over, as if their streams were out."""
+        # Danger: one play too many stalls all plays on a link or uplink; at 85% delivered they earn nothing.
+        # Catches sagging links, other users of a link, heavy titles and crowds alike.
+        need = self.rate(ply, ply.floor)
+        ply.nodes = [n for n in ply.nodes if self.room(now, n, 1.1)[0] >= need]
+        return PASS if ply.nodes else self.decline(ply)
+
     def drawing(self, now, ply):
         """Two drawn at random; the one that this front's books favour."""
         if not ply.pair or not all(n in ply.nodes for n in ply.pair):
@@ -409,14 +417,12 @@
         uplink += sum(self.since(n, rack.heard_at) for n in rack.nodes)
         return link, uplink * node.share / self.card["specifics.uplink_kb"]
 
-    def room(self, now, node):
+    def room(self, now, node, part=0.9):
         use = self.use(now, node)
         if use is None:
             own = sum(self.rate(p, p.rung) for p in node.plays.values())
             return min(node.link, node.share) - own, False
-        if node.short_at is not None:
-            return 0, True
-        return min(0.9 * node.link - use[0], 0.9 * node.share - use[1]), True
+        return min(part * node.link - use[0], part * node.share - use[1]), True
 
     def load(self, now, node):
         """The part of a node's link or uplink share in use; of which nothing is heard counts as average."""
