Uplink shortages covered by few steps, steps up share the room, own zone first

Cause: notes of a short uplink reach all nodes of a rack at once; all plays of all fronts stepped down, then all stepped up into the same room 10 s later.

--- a/curlewhall/policy.py
+++ b/curlewhall/policy.py
@@ -70,8 +70,9 @@
         self.takes, self.further = deque(), deque()  # for the budget of further allocations
         self.wakes, self.labels, self.probes, self.taken, self.out = {}, 0, 0, 0, []
         self.chain = [(self.in_time, self.answer), (self.rationed, self.again), (self.holding, self.health),
-                      (self.streaming, self.filled), (self.warming, self.thawed), (self.capping, None), (self.fitting, None),
-                      (self.drawing, None), (self.shaping, None), (self.sending, self.settle)]
+                      (self.streaming, self.filled), (self.warming, self.thawed), (self.capping, None),
+                      (self.fitting, None), (self.drawing, None), (self.shaping, None),
+                      (self.sending, self.settle)]
 
     # ---- called from outside, as interface.py tells
 
@@ -325,11 +326,14 @@
         return PASS if within else self.decline(ply)
 
     def fitting(self, now, ply):
-        """Holders whose reported room lacks even the floor rung are passed over, as if their streams were out."""
+        """Holders whose reported room lacks even the floor rung are passed over, as if full."""
         # Danger: one play too many stalls all plays on a link or uplink; at 85% delivered they earn nothing.
         # Catches sagging links, other users of a link, heavy titles and crowds alike.
         need = self.rate(ply, ply.floor)
-        ply.nodes = [n for n in ply.nodes if self.room(now, n, 1.1)[0] >= need]
+        nodes = [n for n in ply.nodes if self.room(now, n, 1)[0] >= need]
+        # Crossing zones has a price: nodes of the own zone first, while one is under four fifths of its load.
+        near = [n for n in nodes if n.row.zone == self.card["zone"] and self.load(now, n) < 0.8]
+        ply.nodes = near or nodes
         return PASS if ply.nodes else self.decline(ply)
 
     def drawing(self, now, ply):
@@ -350,8 +354,9 @@
         return PASS
 
     def shaping(self, now, ply):
-        """The rung rule: the highest rung that fits the room."""
+        """The rung rule: the highest rung that fits the room, the middle one where a report is missing."""
         node, (room, known) = ply.nodes[0], self.room(now, ply.nodes[0])
+        known = known and node.rack.heard is not None
         top = ply.top if known else min(ply.top, max(ply.floor, (len(self.ladder) - 1) // 2))
         fits = [r for r in range(ply.floor, top + 1) if self.rate(ply, r) <= room]
         ply.rung = fits[-1] if fits else ply.floor
@@ -436,7 +441,12 @@
         return max(use[0] / node.link, use[1] / node.share)
 
     def short(self, now, node, delivered):
-        """A note of short delivery: this front's plays there step down one rung, then 2 s of deaf ears."""
+        """A note of short delivery: this front's plays there step down one rung, then 2 s of deaf ears.
+
+        Danger: the paper's network never blocks, a rack's uplink does. Unless the node's own link is reported
+        full, all nodes of the rack hear the note at once, and all their plays would step down. Then only so
+        many plays step, dearest in rate for what they lose first, as cover this front's part of the shortage.
+        """
         if delivered >= 0.98:
             node.short_at = None
             return
@@ -444,19 +454,31 @@
         if node.eased_at is not None and now - node.eased_at < 2 * SECOND:
             return
         node.eased_at = now
-        for ply in node.plays.values():
-            if ply.answered and ply.rung > ply.floor:
+        steps = [p for p in node.plays.values() if p.answered and p.rung > p.floor]
+        surplus = None
+        if not (self.use(now, node) and node.heard >= 0.95):  # reports are off by a few hundredths
+            steps.sort(key=lambda p: self.loss(p) / (self.rate(p, p.rung) - self.rate(p, p.rung - 1)))
+            surplus = sum(self.rate(p, p.rung) for p in node.plays.values()) * (1 - 0.95 * delivered)
+        for ply in steps:
+            if surplus is None or surplus > 0:
+                surplus = surplus and surplus - self.rate(ply, ply.rung) + self.rate(ply, ply.rung - 1)
                 self.step(now, ply, ply.rung - 1)
 
+    def loss(self, ply):
+        """What a second is worth less at the next rung down."""
+        worth = self.card["specifics.level_worth"]
+        return ply.product["importance"] * (worth[ply.rung] - worth[ply.rung - 1])
+
     def lift(self, now, node):
         """Plays step up one rung when room holds the step, 10 s after the last note and the last step."""
+        # Danger: all fronts hear of the same room at the same time; each takes its part of it.
         pause = 10 * SECOND
         if node.short_at is not None or (node.eased_at is not None and now - node.eased_at < pause):
             return
         for ply in node.plays.values():
             if ply.answered and ply.rung < ply.top and now - ply.stepped >= pause:
                 room, known = self.room(now, node)
-                if known and self.rate(ply, ply.rung + 1) - self.rate(ply, ply.rung) <= room:
+                if known and self.rate(ply, ply.rung + 1) - self.rate(ply, ply.rung) <= room / self.fronts:
                     self.step(now, ply, ply.rung + 1)
 
     def step(self, now, ply, rung):
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -14,7 +14,7 @@
         "products": [dict(product, name="dear", importance=2.0, idempotency="pure"),
                      dict(product, name="cheap", importance=1.0, idempotency="pure"),
                      dict(product, name="paid", importance=3.0, idempotency="side_effect")],
-        "fronts": 2, "own_index": 0, "kinds": ["box"], "customers": [], "report.how": "inline",
+        "fronts": 2, "own_index": 0, "zone": "z", "kinds": ["box"], "customers": [], "report.how": "inline",
         "specifics.rung_kb": [100.0, 200.0, 400.0, 800.0], "specifics.level_worth": [0.2, 0.5, 0.8, 1.0],
         "specifics.class_scale": [1.0, 1.0, 1.0], "specifics.floor_by_class": [0, 0, 1],
         "specifics.highest_rung": [3, 3, 3], "specifics.seats": [0, 0, 0], "specifics.kind_streams": [8],
--- /dev/null
+++ b/tests/test_rungs.py
@@ -0,0 +1,67 @@
+"""The rung rule, the slice and what guards them."""
+
+import pytest
+from conftest import sent, verbs
+
+
+def rung(said):
+    return [a[2] for a in said if a[0] == "rung"][-1]
+
+
+def report(bench, link, uplink, node="n0"):
+    return list(bench.front.probed(bench.now, node, "ok", 10, {"link_asked": link, "uplink_asked": uplink}))
+
+
+@pytest.mark.parametrize(("link", "uplink", "expected"), [
+    (0.1, 0.1, 3), (0.7, 0.1, 2), (0.1, 0.75, 1), (0.8, 0.1, 1), (0.1, 0.85, 0)])
+def test_a_new_play_gets_the_highest_rung_that_fits(bench, link, uplink, expected):
+    report(bench, link, uplink)
+    assert rung(bench.ask(places=1)[1]) == expected
+
+
+@pytest.mark.parametrize("told", [{}, {"link_asked": 0.1}])
+def test_the_middle_rung_at_most_where_a_report_is_missing(bench, told):
+    bench.front.probed(bench.now, "n0", "ok", 10, told)
+    assert rung(bench.ask(places=1)[1]) == 1
+
+
+def test_never_above_the_viewers_highest(bench):
+    report(bench, 0.1, 0.1)
+    assert rung(bench.ask(places=1, top=1)[1]) == 1
+
+
+def test_no_room_for_the_floor_rung_is_no_room(bench):
+    report(bench, 0.99, 0.5)
+    assert verbs(bench.ask("dear", places=1)[1]) == ["decline"]
+    assert sent(bench.ask("dear", places=2)[1])[0][2] == "n1"
+
+
+@pytest.mark.parametrize(("link", "uplink", "steps"), [(1.3, 0.5, 3), (0.5, 1.3, 1)])
+def test_a_short_link_steps_all_plays_down_a_short_uplink_as_many_as_cover_it(bench, link, uplink, steps):
+    plays = []
+    for _ in range(3):
+        report(bench, 0.1, 0.1)
+        plays.append(bench.play(places=1)[0])
+        bench.wait(2)
+    report(bench, link, uplink)
+    said = bench.front.note(bench.now, plays[0], 0, "n0", "delivered", 0.9)
+    assert len([a for a in said if a[0] == "rung"]) == steps
+    assert bench.front.note(bench.now + 1000, plays[0], 0, "n0", "delivered", 0.85) == []
+
+
+@pytest.mark.parametrize(("after", "uplink", "expected"), [(11, 0.2, 1), (11, 0.88, 0), (5, 0.2, 0)])
+def test_steps_up_when_there_is_room_and_calm(bench, after, uplink, expected):
+    play, _ = bench.play(places=1)
+    bench.wait(after)
+    assert len(report(bench, 0.1, uplink)) == expected
+
+
+def test_the_slice_caps_the_cheapest_product_alone_and_only_above_the_fraction(bench):
+    for load, product, expected in [(0.2, "cheap", 4), (0.6, "cheap", 2), (0.6, "dear", 4)]:
+        fresh = type(bench)()
+        taken = 0
+        for _ in range(4):
+            report(fresh, load, 0.1)
+            taken += len(sent(fresh.ask(product, places=1, top=0)[1]))
+            fresh.wait(2)
+        assert taken == expected, (load, product)
