--- a/curlewhall/policy.py
+++ b/curlewhall/policy.py
@@ -411,7 +411,7 @@
 
     def use(self, now, node):
         """Reported use of the link and of the uplink share, own changes since then added; None: no report."""
-        old = now - 10 * SECOND  # as long as a step takes: an older report tells of other plays
+        old = now - 5 * SECOND  # about as long as a tenth of the plays last: by then others play there
         if node.heard is None or node.heard_at < old:
             return None
         link = node.heard * node.link + self.since(node, node.heard_at)
@@ -451,7 +451,8 @@
             node.short_at = None
             return
         node.short_at = now
-        if node.eased_at is not None and now - node.eased_at < 2 * SECOND:
+        # The 2 s run from when a note could first tell of the last steps: notes tell of a time gone by.
+        if node.eased_at is not None and now - node.eased_at < 2 * SECOND + self.card["specifics.told_late"]:
             return
         node.eased_at = now
         steps = [p for p in node.plays.values() if p.answered and p.rung > p.floor]
