--- a/curlewhall/policy.py
+++ b/curlewhall/policy.py
@@ -66,6 +66,7 @@
                 word: rate_card[f"specifics.{name}"][i] for word, name in terms.items()}
         self.least = min(p["importance"] for p in self.products.values())
         self.ladder, self.fronts = rate_card["specifics.rung_kb"], max(1, rate_card["fronts"])
+        self.middle = (len(self.ladder) - 1) // 2
         self.plays, self.nodes, self.racks = {}, {}, {}
         self.takes, self.further = deque(), deque()  # for the budget of further allocations
         self.wakes, self.labels, self.probes, self.taken, self.out = {}, 0, 0, 0, []
@@ -356,10 +357,21 @@
     def shaping(self, now, ply):
         """The rung rule: the highest rung that fits the room, the middle one where a report is missing."""
         node, (room, known) = ply.nodes[0], self.room(now, ply.nodes[0])
-        known = known and node.rack.heard is not None
-        top = ply.top if known else min(ply.top, max(ply.floor, (len(self.ladder) - 1) // 2))
+        top = self.top(ply, node) if known else min(ply.top, max(ply.floor, self.middle))
         fits = [r for r in range(ply.floor, top + 1) if self.rate(ply, r) <= room]
         ply.rung = fits[-1] if fits else ply.floor
+        while ply.rung < min(ply.top, self.middle):
+            more = self.rate(ply, ply.rung + 1) - self.rate(ply, ply.rung)
+            gain = ply.product["importance"] * self.value(ply.rung + 1) / more
+            victims = [p for p in node.plays.values()
+                       if p.answered and p.rung > p.floor and now - p.stepped > 5 * SECOND]
+            victims = [(self.loss(p) / (self.rate(p, p.rung) - self.rate(p, p.rung - 1)), i, p)
+                       for i, p in enumerate(victims) if self.rate(p, p.rung) - self.rate(p, p.rung - 1) >= more]
+            if not victims or min(victims)[0] * 1.5 > gain:
+                break
+            victim = min(victims)[2]
+            self.step(now, victim, victim.rung - 1)
+            ply.rung += 1
         ply.nodes = [node]
         return PASS
 
@@ -417,7 +429,7 @@
         link = node.heard * node.link + self.since(node, node.heard_at)
         rack = node.rack
         if rack.heard is None or rack.heard_at < old:
-            return link, link
+            return link, 0  # an unreported uplink is left to the notes; no rung above the middle meanwhile
         uplink = rack.heard * self.card["specifics.uplink_kb"]
         uplink += sum(self.since(n, rack.heard_at) for n in rack.nodes)
         return link, uplink * node.share / self.card["specifics.uplink_kb"]
@@ -465,6 +477,10 @@
                 surplus = surplus and surplus - self.rate(ply, ply.rung) + self.rate(ply, ply.rung - 1)
                 self.step(now, ply, ply.rung - 1)
 
+    def value(self, rung):
+        worth = self.card["specifics.level_worth"]
+        return worth[rung] - worth[rung - 1]
+
     def loss(self, ply):
         """What a second is worth less at the next rung down."""
         worth = self.card["specifics.level_worth"]
@@ -477,11 +493,15 @@
         if node.short_at is not None or (node.eased_at is not None and now - node.eased_at < pause):
             return
         for ply in node.plays.values():
-            if ply.answered and ply.rung < ply.top and now - ply.stepped >= pause:
+            if ply.answered and ply.rung < self.top(ply, node) and now - ply.stepped >= pause:
                 room, known = self.room(now, node)
                 if known and self.rate(ply, ply.rung + 1) - self.rate(ply, ply.rung) <= room / self.fronts:
                     self.step(now, ply, ply.rung + 1)
 
+    def top(self, ply, node):
+        """The viewer's highest rung; the middle one, as with no report, where no uplink is reported."""
+        return ply.top if node.rack.heard is not None else min(ply.top, max(ply.floor, self.middle))
+
     def step(self, now, ply, rung):
         self.change(now, ply.node, self.rate(ply, rung) - self.rate(ply, ply.rung))
         ply.rung, ply.stepped = rung, now
