--- a/curlewhall/policy.py
+++ b/curlewhall/policy.py
@@ -25,13 +25,12 @@
     def __init__(self, play, product, customer, limit, cells, top, now):
         self.id, self.product, self.customer, self.limit = play, product, customer, limit
         self.cells, self.top, self.floor, self.taken = cells, top, product["floor"], now
-        self.rung, self.stepped, self.answered, self.gone = self.floor, now, False, False
+        self.rung, self.stepped, self.answered = self.floor, now, False
         self.title, self.allocations, self.may_have_run = None, [], False
         self.nodes, self.pair, self.asked_at = [], [], None
 
-    @property
-    def node(self):
-        return self.allocations[-1].node if self.allocations else None
+    def out(self):
+        return bool(self.allocations) and self.allocations[-1].out
 
 
 class Node:
@@ -41,7 +40,7 @@
         self.id, self.row, self.plays = row.node, row, {}
         self.changes, self.starts = deque(), deque()  # (time, kB a second) and times of own allocations
         self.link = self.share = self.streams = 0
-        self.heard = self.heard_at = self.probe_out = self.probed_at = None
+        self.heard = self.heard_at = self.probe_out = None
         self.short_at = self.eased_at = self.full_at = self.cold_from = self.doubted_at = None
         self.doubt, self.broken = 0, False
 
@@ -57,19 +56,19 @@
     """One instance. A play passes `self.chain` forwards; the end of an allocation passes it backwards."""
 
     def __init__(self, now, seed, rate_card):
-        self.card, self.seed, self.draws, self.born = rate_card, seed, 0, now
+        self.card, self.seed, self.draws = rate_card, seed, 0
         self.products = {}
         for i, product in enumerate(rate_card["products"]):
-            terms = {"floor": "floor_by_class", "scale": "class_scale", "seats": "seats",
-                     "top": "highest_rung"}
+            terms = ("floor_by_class", "class_scale", "seats", "highest_rung")
+            floor, scale, seats, top = (rate_card[f"specifics.{term}"][i] for term in terms)
             self.products[product["name"]] = product | {
-                word: rate_card[f"specifics.{name}"][i] for word, name in terms.items()}
+                "floor": floor, "scale": scale, "seats": seats, "top": top}
         self.least = min(p["importance"] for p in self.products.values())
         self.ladder, self.fronts = rate_card["specifics.rung_kb"], max(1, rate_card["fronts"])
         self.middle = (len(self.ladder) - 1) // 2
         self.plays, self.nodes, self.racks = {}, {}, {}
         self.takes, self.further = deque(), deque()  # for the budget of further allocations
-        self.wakes, self.labels, self.probes, self.taken, self.out = {}, 0, 0, 0, []
+        self.wakes, self.labels, self.out = {}, 0, []
         self.chain = [(self.in_time, self.answer), (self.rationed, self.again), (self.holding, self.health),
                       (self.streaming, self.filled), (self.warming, self.thawed), (self.capping, None),
                       (self.fitting, None), (self.drawing, None), (self.shaping, None),
@@ -93,28 +92,23 @@
         for node in self.nodes.values():
             if how in ("whole", "old_copy") and node.id not in named:
                 node.row = node.row._replace(state="gone")
-        kept, self.racks = self.racks, {}
+        for rack in self.racks.values():
+            rack.nodes = []
+        streams = dict(zip(self.card["kinds"], self.card["specifics.kind_streams"], strict=False))
         for node in self.nodes.values():
+            node.link = node.row.weight * self.card["specifics.link_unit_kb"]
+            node.streams = streams.get(node.row.kind, min(streams.values()))
+            node.rack = self.racks.setdefault(node.row.place % max(1, self.card["specifics.shelves"]), Rack())
             if node.row.state != "gone":
-                place = node.row.place % max(1, self.card["specifics.shelves"])
-                rack = self.racks.setdefault(place, kept.get(place) or Rack())
-                node.rack = rack
-        for rack in self.racks.values():
-            rack.nodes = [n for n in self.nodes.values() if n.row.state != "gone" and n.rack is rack]
-            for node in rack.nodes:
-                node.link = node.row.weight * self.card["specifics.link_unit_kb"]
-            links = sum(node.link for node in rack.nodes)
-            for node in rack.nodes:
-                node.share = self.card["specifics.uplink_kb"] * node.link / links
-                kinds = self.card["kinds"]
-                at = kinds.index(node.row.kind) if node.row.kind in kinds else 0
-                node.streams = self.card["specifics.kind_streams"][at]
+                node.rack.nodes.append(node)
+        for node in self.nodes.values():
+            links = sum(n.link for n in node.rack.nodes) or node.link
+            node.share = self.card["specifics.uplink_kb"] * node.link / links
         return self.said()
 
     def asked(self, now, play, product, customer, viewer, title, limit, first_place, places, top_rung,
               length, moved, again):
         self.takes.append(now)
-        self.taken += 1
         ply = self.take(now, play, product, customer, title, limit, first_place, places, top_rung)
         self.run(now, ply)
         return self.said()
@@ -132,34 +126,30 @@
         ply = self.plays.get(play)
         if ply:
             ply.answered, ply.stepped = True, now
-            self.proved(now, ply.node)
+            self.proved(now, ply.allocations[-1].node)
         return self.said()
 
     def ended(self, now, play, number, node, how, final, took, report):
         ply = self.plays.get(play)
         if node in self.nodes:
-            self.hear(now, self.nodes[node], report, now - self.lag())
+            self.hear(now, self.nodes[node], report)
         if ply:
             ply.answered = ply.answered or final
             allocation = ply.allocations[number]
             for _, back in reversed(self.chain):
                 if back and back(now, ply, allocation, how) is END:
                     break
-            if ply.answered and not ply.allocations[-1].out:
+            if ply.answered and not ply.out():
                 self.plays.pop(play, None)
         return self.said()
 
     def note(self, now, play, number, node, kind, value):
-        ply, told = self.plays.get(play), self.nodes.get(node)
-        late = self.card["specifics.told_late"]
-        if kind == "rung" and ply:
-            ply.rung = int(value)
-        elif kind == "delivered" and told:
-            self.short(now, told, value)
-        elif kind == "link_asked" and told:
-            self.hear(now, told, {"link_asked": value}, now - late)
-        elif kind == "uplink_asked" and told:
-            self.hear(now, told, {"uplink_asked": value}, now - late)
+        if kind == "rung" and play in self.plays:
+            self.plays[play].rung = int(value)
+        elif kind == "delivered" and node in self.nodes:
+            self.short(now, self.nodes[node], value)
+        elif kind != "rung" and node in self.nodes:
+            self.hear(now, self.nodes[node], {kind: value}, now - self.card["specifics.told_late"])
         return self.said()
 
     def probed(self, now, node, how, took, report):
@@ -167,7 +157,7 @@
         if told:
             told.probe_out = None
             if how == "ok":
-                self.hear(now, told, report, now - self.lag())
+                self.hear(now, told, report)
         for ply in [p for p in self.plays.values() if told in p.pair]:
             if not any(n.probe_out for n in ply.pair):
                 self.run(now, ply)
@@ -186,7 +176,7 @@
         ply = self.plays.get(play)
         if ply:
             ply.answered = True
-            if not (ply.allocations and ply.allocations[-1].out):
+            if not ply.out():
                 self.plays.pop(play)
         return self.said()
 
@@ -194,7 +184,7 @@
 
     def run(self, now, ply):
         # Danger: probes, wakes and ends may all call for the same play; never two allocations out at once.
-        if ply.answered or (ply.allocations and ply.allocations[-1].out):
+        if ply.answered or ply.out():
             return
         for ahead, _ in self.chain:
             if ahead(now, ply) is not PASS:
@@ -212,13 +202,11 @@
             self.decline(ply)
 
     def rationed(self, now, ply):
-        tried = len(ply.allocations)
+        tried, share = len(ply.allocations), self.card.get("rules.extra_per_request")
         if not tried:
             return PASS
-        share, spare = self.card.get("rules.extra_per_request"), self.card.get("rules.spare_allocations", 0)
-        if ply.may_have_run and ply.product["idempotency"] != "pure":
-            return self.decline(ply)
-        if tried >= self.card["permissions.max_allocations"]:
+        spent = ply.may_have_run and ply.product["idempotency"] != "pure"
+        if spent or tried >= self.card["permissions.max_allocations"]:
             return self.decline(ply)
         if share is not None:
             since = now - self.card["rules.look_back"]
@@ -228,7 +216,7 @@
             # Danger: the bench's window and this one may differ by a tick at either end, so the oldest
             # second of the takes is left out and one allocation is kept back.
             takes = sum(t > since + SECOND for t in self.takes)
-            if len(self.further) + 1 > spare + share * takes:
+            if len(self.further) + 1 > self.card.get("rules.spare_allocations", 0) + share * takes:
                 return self.decline(ply)
         return PASS
 
@@ -251,7 +239,7 @@
         node = allocation.node
         if how == "ok":
             self.proved(now, node)
-        elif how in ("late", "error") and not ply.gone:
+        elif how in ("late", "error"):
             node.doubt, node.doubted_at = node.doubt + 1, now
         elif how in ("broken", "unreached"):
             # Danger: the process may be down and come back cold long before the list says so.
@@ -259,9 +247,8 @@
 
     def doubtful(self, now, node, ply):
         """Symptom: set-ups end unanswered, or one is out for far longer than set-ups take."""
-        hung = any(now - p.allocations[-1].sent > self.patience(p) // 2 for p in node.plays.values()
-                   if not p.answered and p.allocations[-1].out)
-        if hung:
+        if any(now - p.allocations[-1].sent > self.patience(p) // 2 for p in node.plays.values()
+               if not p.answered):
             return True
         if not node.doubt:
             return False
@@ -344,8 +331,8 @@
             rest = [n for n in ply.nodes if n is not first]
             ply.pair, ply.asked_at = [first] + ([rest[self.chance(len(rest))]] if rest else []), None
         if self.card["report.how"] == "on_probe" and ply.asked_at is None:
-            # 1 s: reports change about that often; older ones are asked for anew before a node is chosen
-            stale = [n for n in ply.pair if n.heard_at is None or now - n.heard_at > SECOND]
+            # 3 s: asking for younger ones cost twice the probes and gained nothing
+            stale = [n for n in ply.pair if n.heard_at is None or now - n.heard_at > 3 * SECOND]
             for node in stale:
                 self.probe(now, node)
             if stale:
@@ -362,17 +349,14 @@
         ply.rung = fits[-1] if fits else ply.floor
         while ply.rung < min(ply.top, self.middle):
             more = self.rate(ply, ply.rung + 1) - self.rate(ply, ply.rung)
-            gain = ply.product["importance"] * self.value(ply.rung + 1) / more
-            victims = [p for p in node.plays.values()
-                       if p.answered and p.rung > p.floor and now - p.stepped > 5 * SECOND]
-            victims = [(self.loss(p) / (self.rate(p, p.rung) - self.rate(p, p.rung - 1)), i, p)
-                       for i, p in enumerate(victims) if self.rate(p, p.rung) - self.rate(p, p.rung - 1) >= more]
-            if not victims or min(victims)[0] * 1.5 > gain:
-                break
-            victim = min(victims)[2]
-            self.step(now, victim, victim.rung - 1)
+            gain = self.loss(ply, ply.rung + 1) / more
+            others = [p for p in node.plays.values() if p.answered and p.rung > p.floor
+                      and now - p.stepped > 5 * SECOND and self.drop(p) >= more]
+            other = min(others, key=lambda p: self.loss(p) / self.drop(p), default=None)
+            if other is None or 1.5 * self.loss(other) / self.drop(other) > gain:
+                return PASS
+            self.step(now, other, other.rung - 1)
             ply.rung += 1
-        ply.nodes = [node]
         return PASS
 
     def sending(self, now, ply):
@@ -409,10 +393,9 @@
     def since(self, node, when):
         return sum(kb for at, kb in node.changes if at > when)
 
-    def lag(self):
-        return SECOND // 2  # reports are refreshed and delayed by a fraction of a second, untold
-
-    def hear(self, now, node, report, when):
+    def hear(self, now, node, report, when=None):
+        if when is None:
+            when = now - SECOND // 2  # reports are refreshed and delayed by a fraction of a second, untold
         link = report.get("link_asked", report.get("link_share"))
         if link is not None:
             node.heard, node.heard_at = link, when
@@ -446,11 +429,10 @@
         if node.short_at is not None:
             return 1.5
         use = self.use(now, node)
-        if use is None:
-            heard = [n for n in self.nodes.values() if self.use(now, n) is not None]
-            use_of = [max(self.use(now, n)[0] / n.link, self.use(now, n)[1] / n.share) for n in heard]
-            return sum(use_of) / len(use_of) if use_of else 0
-        return max(use[0] / node.link, use[1] / node.share)
+        if use is not None:
+            return max(use[0] / node.link, use[1] / node.share)
+        heard = [self.load(now, n) for n in self.nodes.values() if self.use(now, n) is not None]
+        return sum(heard) / len(heard) if heard else 0
 
     def short(self, now, node, delivered):
         """A note of short delivery: this front's plays there step down one rung, then 2 s of deaf ears.
@@ -470,21 +452,20 @@
         steps = [p for p in node.plays.values() if p.answered and p.rung > p.floor]
         surplus = None
         if not (self.use(now, node) and node.heard >= 0.95):  # reports are off by a few hundredths
-            steps.sort(key=lambda p: self.loss(p) / (self.rate(p, p.rung) - self.rate(p, p.rung - 1)))
+            steps.sort(key=lambda p: self.loss(p) / self.drop(p))
             surplus = sum(self.rate(p, p.rung) for p in node.plays.values()) * (1 - 0.95 * delivered)
         for ply in steps:
             if surplus is None or surplus > 0:
-                surplus = surplus and surplus - self.rate(ply, ply.rung) + self.rate(ply, ply.rung - 1)
+                surplus = surplus and surplus - self.drop(ply)
                 self.step(now, ply, ply.rung - 1)
 
-    def value(self, rung):
-        worth = self.card["specifics.level_worth"]
-        return worth[rung] - worth[rung - 1]
+    def loss(self, ply, rung=None):
+        """What a second is worth less at the next rung down; `drop` is the rate that it spares."""
+        worth, rung = self.card["specifics.level_worth"], ply.rung if rung is None else rung
+        return ply.product["importance"] * (worth[rung] - worth[rung - 1])
 
-    def loss(self, ply):
-        """What a second is worth less at the next rung down."""
-        worth = self.card["specifics.level_worth"]
-        return ply.product["importance"] * (worth[ply.rung] - worth[ply.rung - 1])
+    def drop(self, ply):
+        return self.rate(ply, ply.rung) - self.rate(ply, ply.rung - 1)
 
     def lift(self, now, node):
         """Plays step up one rung when room holds the step, 10 s after the last note and the last step."""
@@ -503,7 +484,7 @@
         return ply.top if node.rack.heard is not None else min(ply.top, max(ply.floor, self.middle))
 
     def step(self, now, ply, rung):
-        self.change(now, ply.node, self.rate(ply, rung) - self.rate(ply, ply.rung))
+        self.change(now, ply.allocations[-1].node, self.rate(ply, rung) - self.rate(ply, ply.rung))
         ply.rung, ply.stepped = rung, now
         self.out.append(("rung", ply.id, rung))
 
@@ -536,8 +517,7 @@
 
     def probe(self, now, node):
         if self.card["permissions.probes"] and not node.probe_out:
-            node.probe_out = node.probed_at = now
-            self.probes += 1
+            node.probe_out = now
             self.out.append(("probe", node.id))
 
     def keep(self, ply, span):
