--- a/curlewhall/policy.py
+++ b/curlewhall/policy.py
@@ -318,7 +318,8 @@
         # Danger: one play too many stalls all plays on a link or uplink; at 85% delivered they earn nothing.
         # Catches sagging links, other users of a link, heavy titles and crowds alike.
         need = self.rate(ply, ply.floor)
-        nodes = [n for n in ply.nodes if self.room(now, n, 1)[0] >= need]
+        part = 1 if ply.product["importance"] > self.least else 0.9  # the last tenth is kept for dearer ones
+        nodes = [n for n in ply.nodes if self.room(now, n, part)[0] >= need]
         # Crossing zones has a price: nodes of the own zone first, while one is under four fifths of its load.
         near = [n for n in nodes if n.row.zone == self.card["zone"] and self.load(now, n) < 0.8]
         ply.nodes = near or nodes
