--- a/curlewhall/policy.py
+++ b/curlewhall/policy.py
@@ -116,7 +116,7 @@
     def resumed(self, now, play, product, customer, viewer, title, first_place, places, top_rung, length,
                 node):
         ply = self.take(now, play, product, customer, title, now, first_place, places, top_rung)
-        ply.answered = True
+        ply.answered, ply.stepped = True, now - 10 * SECOND  # this front has not stepped it: free to step up
         if node in self.nodes:
             ply.allocations.append(Allocation(self.nodes[node], now))
             self.nodes[node].plays[play] = ply
@@ -392,7 +392,9 @@
             node.changes.popleft()
 
     def since(self, node, when):
-        return sum(kb for at, kb in node.changes if at > when)
+        # Danger: in a surge every front places into the same room before any report tells of it. The others are
+        # taken to place half as much each as this one, since plays are spread unevenly.
+        return sum(kb if kb < 0 else kb * (1 + self.fronts) / 2 for at, kb in node.changes if at > when)
 
     def hear(self, now, node, report, when=None):
         if when is None:
