--- a/curlewhall/policy.py
+++ b/curlewhall/policy.py
@@ -415,7 +415,7 @@
         link = node.heard * node.link + self.since(node, node.heard_at)
         rack = node.rack
         if rack.heard is None or rack.heard_at < old:
-            return link, 0  # an unreported uplink is left to the notes; no rung above the middle meanwhile
+            return link, 0  # an unreported uplink is left to the notes; no new rung above the middle meanwhile
         uplink = rack.heard * self.card["specifics.uplink_kb"]
         uplink += sum(self.since(n, rack.heard_at) for n in rack.nodes)
         return link, uplink * node.share / self.card["specifics.uplink_kb"]
@@ -479,6 +479,8 @@
         for ply in node.plays.values():
             if ply.answered and ply.rung < self.top(ply, node) and now - ply.stepped >= pause:
                 room, known = self.room(now, node)
+                if known and node.rack.heard is None:
+                    room = min(room, 0.9 * node.share - self.use(now, node)[0])
                 if known and self.rate(ply, ply.rung + 1) - self.rate(ply, ply.rung) <= room / self.fronts:
                     self.step(now, ply, ply.rung + 1)
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -39,8 +39,8 @@
         self.now += 20 * SECOND  # all warm
 
     def list(self, how, *rows):
-        plain = {"state": "serving", "weight": 1, "started": 0}
-        rows = [NodeRow(n, int(n[1:]) % 4, "z", "box", **(plain | more)) for n, more in rows]
+        plain = {"zone": "z", "kind": "box", "state": "serving", "weight": 1, "started": 0}
+        rows = [NodeRow(n, int(n[1:]) % 4, **(plain | more)) for n, more in rows]
         return list(self.front.listed(self.now, how, rows))
 
     def ask(self, product="cheap", limit=3 * SECOND, first=0, places=4, top=3, **more):
--- a/tests/test_rungs.py
+++ b/tests/test_rungs.py
@@ -65,3 +65,67 @@
             taken += len(sent(fresh.ask(product, places=1, top=0)[1]))
             fresh.wait(2)
         assert taken == expected, (load, product)
+
+
+def test_the_last_tenth_is_kept_for_dearer_products(bench):
+    report(bench, 0.92, 0.1)
+    assert verbs(bench.ask("cheap", places=1)[1])[-1] == "decline"
+    assert verbs(bench.ask("dear", places=1)[1])[-1] == "allocate"
+
+
+def test_a_new_play_takes_room_from_an_own_dearer_one(bench):
+    report(bench, 0.1, 0.1)
+    high, _ = bench.play(places=1)
+    bench.wait(6)
+    report(bench, 0.86, 0.1)
+    play, said = bench.ask(places=1)
+    assert ("rung", high, 2) in said and ("rung", play, 1) in said
+
+
+def test_a_surge_of_all_fronts_is_reckoned_before_reports_tell(bench):
+    report(bench, 0.55, 0.1)
+    assert [rung(bench.ask("dear", places=1)[1]) for _ in range(2)] == [3, 0]
+
+
+@pytest.mark.parametrize(("after", "expected"), [(0, 1), (1, 0)])
+def test_a_resumed_play_may_step_up_at_the_first_report_one_rung(bench, after, expected):
+    bench.front.resumed(bench.now, play="r", product="cheap", customer="", viewer="r", title="t",
+                        first_place=0, places=4, top_rung=3, length=None, node="n0")
+    said = report(bench, 0.1, 0.1)
+    if after:
+        bench.wait(after)
+        said = report(bench, 0.1, 0.1)
+    assert len(said) == expected
+
+
+def test_an_unreported_uplink_limits_no_entry_but_holds_steps_to_its_share(bench):
+    bench.front.probed(bench.now, "n0", "ok", 10, {"link_asked": 0.8})
+    assert rung(bench.ask(places=1)[1]) == 1
+    play, _ = bench.play("dear", places=1, top=0)
+    bench.wait(11)
+    assert bench.front.probed(bench.now, "n0", "ok", 10, {"link_asked": 0.7}) == []
+
+
+@pytest.mark.parametrize(("signs", "expected"), [
+    ("out", {"n1", "n2", "n3"}), ("late", {"n1", "n2", "n3"}), ("recovered", {"n0", "n1", "n2", "n3"})])
+def test_a_silent_node_is_passed_over_until_it_answers(bench, signs, expected):
+    play, said = bench.ask(places=1)
+    bench.wait(0.3)
+    if signs != "out":
+        bench.end(play, "late", "n0")
+        bench.end(play, "withdrawn", "n0", 1, True)
+    if signs == "recovered":
+        bench.wait(3)
+        other, _ = bench.play(places=1)
+        bench.end(other, "ok", "n0", final=True)
+    taken = set()
+    for _ in range(12):
+        play, said = bench.ask(top=0)
+        taken.add(sent(said)[0][2])
+        bench.end(play, "ok", sent(said)[0][2], final=True)
+    assert taken == expected
+
+
+def test_own_zone_first(bench):
+    bench.list("changes", ("n0", {"zone": "far"}), ("n1", {"zone": "far"}), ("n2", {"zone": "far"}))
+    assert {sent(bench.ask(top=0)[1])[0][2] for _ in range(6)} == {"n3"}
