--- a/curlewhall/policy.py
+++ b/curlewhall/policy.py
@@ -392,7 +392,7 @@
             node.changes.popleft()
 
     def since(self, node, when):
-        # Danger: in a surge every front places into the same room before any report tells of it. The others are
+        # Danger: in a surge every front places into the same room before any report tells of it. Others are
         # taken to place half as much each as this one, since plays are spread unevenly.
         return sum(kb if kb < 0 else kb * (1 + self.fronts) / 2 for at, kb in node.changes if at > when)
 
@@ -415,7 +415,7 @@
         link = node.heard * node.link + self.since(node, node.heard_at)
         rack = node.rack
         if rack.heard is None or rack.heard_at < old:
-            return link, 0  # an unreported uplink is left to the notes; no new rung above the middle meanwhile
+            return link, 0  # an unreported uplink is left to the notes; new rungs stop at the middle
         uplink = rack.heard * self.card["specifics.uplink_kb"]
         uplink += sum(self.since(n, rack.heard_at) for n in rack.nodes)
         return link, uplink * node.share / self.card["specifics.uplink_kb"]
