--- a/curlewhall/policy.py
+++ b/curlewhall/policy.py
@@ -415,7 +415,13 @@
         link = node.heard * node.link + self.since(node, node.heard_at)
         rack = node.rack
         if rack.heard is None or rack.heard_at < old:
-            return link, 0  # an unreported uplink is left to the notes; new rungs stop at the middle
+            # Danger: nobody reports this uplink, and a surge overruns it unseen. It counts as full once the
+            # rack's links, half of them heard, ask a tenth more than its figure, which is only a mean.
+            heard = [n for n in rack.nodes if n.heard is not None and n.heard_at >= old]
+            links, whole = (sum(n.link for n in nodes) for nodes in (heard, rack.nodes))
+            asked = sum(n.heard * n.link + self.since(n, n.heard_at) for n in heard)
+            full = 2 * links >= whole and asked * whole > 1.1 * links * self.card["specifics.uplink_kb"]
+            return link, float("inf") if full else 0
         uplink = rack.heard * self.card["specifics.uplink_kb"]
         uplink += sum(self.since(n, rack.heard_at) for n in rack.nodes)
         return link, uplink * node.share / self.card["specifics.uplink_kb"]
