--- a/curlewhall/policy.py
+++ b/curlewhall/policy.py
@@ -68,7 +68,7 @@
         self.middle = (len(self.ladder) - 1) // 2
         self.plays, self.nodes, self.racks = {}, {}, {}
         self.takes, self.further = deque(), deque()  # for the budget of further allocations
-        self.wakes, self.labels, self.out = {}, 0, []
+        self.wakes, self.labels, self.out, self.average = {}, 0, [], (None, 0)
         self.chain = [(self.in_time, self.answer), (self.rationed, self.again), (self.holding, self.health),
                       (self.streaming, self.filled), (self.warming, self.thawed), (self.capping, None),
                       (self.fitting, None), (self.drawing, None), (self.shaping, None),
@@ -158,7 +158,7 @@
             told.probe_out = None
             if how == "ok":
                 self.hear(now, told, report)
-        for ply in [p for p in self.plays.values() if told in p.pair]:
+        for ply in [p for p in map(self.plays.get, list(self.wakes.values())) if p and told in p.pair]:
             if not any(n.probe_out for n in ply.pair):
                 self.run(now, ply)
         return self.said()
@@ -387,14 +387,16 @@
         return self.ladder[rung] * ply.product["scale"]
 
     def change(self, now, node, kb):
-        node.changes.append((now, kb))
+        # Danger: thousands of plays in one batch; changes of one moment are kept as one, old ones dropped.
+        up, down = node.changes.pop()[1:] if node.changes and node.changes[-1][0] == now else (0, 0)
+        node.changes.append((now, up + max(kb, 0), down + min(kb, 0)))
         while node.changes[0][0] < now - 10 * SECOND:
             node.changes.popleft()
 
     def since(self, node, when):
         # Danger: in a surge every front places into the same room before any report tells of it. Others are
         # taken to place half as much each as this one, since plays are spread unevenly.
-        return sum(kb if kb < 0 else kb * (1 + self.fronts) / 2 for at, kb in node.changes if at > when)
+        return sum(up * (1 + self.fronts) / 2 + down for at, up, down in node.changes if at > when)
 
     def hear(self, now, node, report, when=None):
         if when is None:
@@ -440,8 +442,10 @@
         use = self.use(now, node)
         if use is not None:
             return max(use[0] / node.link, use[1] / node.share)
-        heard = [self.load(now, n) for n in self.nodes.values() if self.use(now, n) is not None]
-        return sum(heard) / len(heard) if heard else 0
+        if self.average[0] != now:
+            heard = [self.load(now, n) for n in self.nodes.values() if self.use(now, n) is not None]
+            self.average = now, sum(heard) / max(1, len(heard))
+        return self.average[1]
 
     def short(self, now, node, delivered):
         """A note of short delivery: this front's plays there step down one rung, then 2 s of deaf ears.
