--- a/curlewhall/policy.py
+++ b/curlewhall/policy.py
@@ -49,7 +49,7 @@
     """The nodes that share an uplink."""
 
     def __init__(self):
-        self.nodes, self.heard, self.heard_at = [], None, None
+        self.nodes, self.heard, self.heard_at, self.full = [], None, None, (None, False)
 
 
 class Front:
@@ -419,11 +419,13 @@
         if rack.heard is None or rack.heard_at < old:
             # Danger: nobody reports this uplink, and a surge overruns it unseen. It counts as full once the
             # rack's links, half of them heard, ask a tenth more than its figure, which is only a mean.
-            heard = [n for n in rack.nodes if n.heard is not None and n.heard_at >= old]
-            links, whole = (sum(n.link for n in nodes) for nodes in (heard, rack.nodes))
-            asked = sum(n.heard * n.link + self.since(n, n.heard_at) for n in heard)
-            full = 2 * links >= whole and asked * whole > 1.1 * links * self.card["specifics.uplink_kb"]
-            return link, float("inf") if full else 0
+            if rack.full[0] != now:  # reckoned once a moment
+                heard = [n for n in rack.nodes if n.heard is not None and n.heard_at >= old]
+                links, whole = (sum(n.link for n in nodes) for nodes in (heard, rack.nodes))
+                asked = sum(n.heard * n.link + self.since(n, n.heard_at) for n in heard)
+                limit = 1.1 * links * self.card["specifics.uplink_kb"]
+                rack.full = now, 2 * links >= whole and asked * whole > limit
+            return link, float("inf") if rack.full[1] else 0
         uplink = rack.heard * self.card["specifics.uplink_kb"]
         uplink += sum(self.since(n, rack.heard_at) for n in rack.nodes)
         return link, uplink * node.share / self.card["specifics.uplink_kb"]
