--- a/curlewhall/policy.py
+++ b/curlewhall/policy.py
@@ -10,6 +10,7 @@
 
 SECOND = 10_000
 PASS, KEEP, END = "pass", "keep", "end"
+NEVER = float("-inf")  # a time before all others
 
 
 class Allocation:
@@ -22,12 +23,12 @@
 class Play:
     """A viewer's play, from its request to its end."""
 
-    def __init__(self, play, product, customer, limit, cells, top, now):
-        self.id, self.product, self.customer, self.limit = play, product, customer, limit
-        self.cells, self.top, self.floor, self.taken = cells, top, product["floor"], now
-        self.rung, self.stepped, self.answered = self.floor, now, False
-        self.title, self.allocations, self.may_have_run = None, [], False
-        self.nodes, self.pair, self.asked_at = [], [], None
+    def __init__(self, now, product, play, customer, viewer, title, limit, cells, top):
+        self.id, self.product, self.customer, self.viewer = play, product, customer, viewer
+        self.title, self.limit, self.cells, self.top, self.taken = title, limit, cells, top, now
+        self.rung = self.floor = product["floor"]
+        self.answered, self.stepped, self.looked, self.looks = False, now, now, 0
+        self.allocations, self.may_have_run, self.nodes, self.pair, self.asked = [], False, [], [], False
 
     def out(self):
         return bool(self.allocations) and self.allocations[-1].out
@@ -38,18 +39,19 @@
 
     def __init__(self, row):
         self.id, self.row, self.plays = row.node, row, {}
-        self.changes, self.starts = deque(), deque()  # (time, kB a second) and times of own allocations
+        self.changes, self.starts = deque(), deque(maxlen=99)  # (time, kB a second), times of own allocations
         self.link = self.share = self.streams = 0
-        self.heard = self.heard_at = self.probe_out = None
-        self.short_at = self.eased_at = self.full_at = self.cold_from = self.doubted_at = None
-        self.doubt, self.broken = 0, False
+        self.heard, self.heard_at = 0, NEVER
+        self.short_at = self.eased_at = self.full_at = self.cold_from = self.doubted_at = NEVER
+        self.doubt, self.broken, self.probe_out, self.waiting = 0, False, False, []
 
 
 class Rack:
     """The nodes that share an uplink."""
 
     def __init__(self):
-        self.nodes, self.heard, self.heard_at, self.full = [], None, None, (None, False)
+        self.nodes, self.link, self.changes = [], 1, deque()
+        self.heard, self.heard_at = 0, NEVER
 
 
 class Front:
@@ -57,65 +59,75 @@
 
     def __init__(self, now, seed, rate_card):
         self.card, self.seed, self.draws = rate_card, seed, 0
-        self.products = {}
-        for i, product in enumerate(rate_card["products"]):
-            terms = ("floor_by_class", "class_scale", "seats", "highest_rung")
-            floor, scale, seats, top = (rate_card[f"specifics.{term}"][i] for term in terms)
-            self.products[product["name"]] = product | {
-                "floor": floor, "scale": scale, "seats": seats, "top": top}
+        terms = {"floor": "floor_by_class", "scale": "class_scale", "seats": "seats", "top": "highest_rung"}
+        self.products = {p["name"]: p | {t: rate_card[f"specifics.{name}"][i] for t, name in terms.items()}
+                         for i, p in enumerate(rate_card["products"])}
+        self.customers = {c["name"]: (c["allowance_per_s"], deque()) for c in rate_card["customers"]}
         self.least = min(p["importance"] for p in self.products.values())
         self.ladder, self.fronts = rate_card["specifics.rung_kb"], max(1, rate_card["fronts"])
         self.middle = (len(self.ladder) - 1) // 2
-        self.plays, self.nodes, self.racks = {}, {}, {}
+        self.plays, self.nodes, self.racks, self.cells = {}, {}, {}, {}
         self.takes, self.further = deque(), deque()  # for the budget of further allocations
-        self.wakes, self.labels, self.out, self.average = {}, 0, [], (None, 0)
+        self.wakes, self.labels, self.out, self.average = {}, 0, [], (NEVER, 0)
+        self.changes, self.links, self.part = deque(), 1, (NEVER, 1)
         self.chain = [(self.in_time, self.answer), (self.rationed, self.again), (self.holding, self.health),
-                      (self.streaming, self.filled), (self.warming, self.thawed), (self.capping, None),
+                      (self.streaming, None), (self.warming, None), (self.capping, None),
                       (self.fitting, None), (self.drawing, None), (self.shaping, None),
                       (self.sending, self.settle)]
 
     # ---- called from outside, as interface.py tells
 
     def listed(self, now, how, rows):
-        named = set()
+        if not self.nodes and self.card["report.how"] == "on_probe":
+            self.out.append(("wake", self.chance(2 * SECOND), 0))
+        changed, named = False, {row.node for row in rows}
         for row in rows:
-            named.add(row.node)
             node = self.nodes.get(row.node)
             if node is None:
-                node = self.nodes[row.node] = Node(row)
                 # Danger: an old list names nodes that have started since; all that a young front finds, and
                 # all that is new to it, is paced as if it had started just now.
-                node.cold_from = now
+                node = self.nodes[row.node] = Node(row)
+                node.cold_from, changed = now, True
             elif row.started > node.row.started:
-                node.cold_from, node.heard, node.broken = max(now, row.started), None, False
+                node.cold_from, node.heard_at, node.broken = max(now, row.started), NEVER, False
+            changed = changed or node.row._replace(state=row.state, started=row.started) != row
             node.row = row
-        for node in self.nodes.values():
-            if how in ("whole", "old_copy") and node.id not in named:
+        for node in self.nodes.values() if how in ("whole", "old_copy") else ():
+            if node.id not in named:
                 node.row = node.row._replace(state="gone")
-        for rack in self.racks.values():
-            rack.nodes = []
+        if changed:
+            self.arrange()
+        return self.said()
+
+    def arrange(self):
+        """Racks, cells and links anew, when nodes come or change; those that go keep their place."""
+        self.cells, racks = {}, {}
         streams = dict(zip(self.card["kinds"], self.card["specifics.kind_streams"], strict=False))
         for node in self.nodes.values():
             node.link = node.row.weight * self.card["specifics.link_unit_kb"]
             node.streams = streams.get(node.row.kind, min(streams.values()))
             node.rack = self.racks.setdefault(node.row.place % max(1, self.card["specifics.shelves"]), Rack())
-            if node.row.state != "gone":
-                node.rack.nodes.append(node)
-        for node in self.nodes.values():
-            links = sum(n.link for n in node.rack.nodes) or node.link
-            node.share = self.card["specifics.uplink_kb"] * node.link / links
-        return self.said()
+            self.cells.setdefault(node.row.place % max(1, self.card["specifics.places"]), []).append(node)
+            racks.setdefault(node.rack, []).append(node)
+        for rack, nodes in racks.items():
+            rack.nodes, rack.link = nodes, sum(n.link for n in nodes) or 1
+            for node in nodes:
+                node.share = self.card["specifics.uplink_kb"] * node.link / rack.link
+        self.links = sum(rack.link for rack in racks) or 1
 
     def asked(self, now, play, product, customer, viewer, title, limit, first_place, places, top_rung,
               length, moved, again):
         self.takes.append(now)
-        ply = self.take(now, play, product, customer, title, limit, first_place, places, top_rung)
+        if customer in self.customers and not again:
+            self.customers[customer][1].append(now)
+        ply = self.take(now, play, product, customer, viewer, title, limit, first_place, places, top_rung)
         self.run(now, ply)
         return self.said()
 
     def resumed(self, now, play, product, customer, viewer, title, first_place, places, top_rung, length,
                 node):
-        ply = self.take(now, play, product, customer, title, now, first_place, places, top_rung)
+        ply = self.take(now, play, product, customer, viewer, title, now, first_place, places, top_rung)
+        ply.looked -= self.chance(10 * SECOND)
         ply.answered, ply.stepped = True, now - 10 * SECOND  # this front has not stepped it: free to step up
         if node in self.nodes:
             ply.allocations.append(Allocation(self.nodes[node], now))
@@ -125,8 +137,11 @@
     def first_frame(self, now, play, number, node, took):
         ply = self.plays.get(play)
         if ply:
-            ply.answered, ply.stepped = True, now
-            self.proved(now, ply.allocations[-1].node)
+            ply.answered, ply.stepped = True, now - 10 * SECOND  # its first report may let it step up at once
+            proved = ply.allocations[-1].node
+            proved.doubt = 0
+            if proved.broken:
+                proved.broken, proved.cold_from = False, now
         return self.said()
 
     def ended(self, now, play, number, node, how, final, took, report):
@@ -144,22 +159,23 @@
         return self.said()
 
     def note(self, now, play, number, node, kind, value):
-        if kind == "rung" and play in self.plays:
-            self.plays[play].rung = int(value)
-        elif kind == "delivered" and node in self.nodes:
+        if kind == "rung":
+            if play in self.plays:
+                self.plays[play].rung = int(value)
+        elif node in self.nodes and kind == "delivered":
             self.short(now, self.nodes[node], value)
-        elif kind != "rung" and node in self.nodes:
+        elif node in self.nodes:
             self.hear(now, self.nodes[node], {kind: value}, now - self.card["specifics.told_late"])
         return self.said()
 
     def probed(self, now, node, how, took, report):
         told = self.nodes.get(node)
         if told:
-            told.probe_out = None
+            told.probe_out = False
             if how == "ok":
                 self.hear(now, told, report)
-        for ply in [p for p in map(self.plays.get, list(self.wakes.values())) if p and told in p.pair]:
-            if not any(n.probe_out for n in ply.pair):
+            waiting, told.waiting = told.waiting, []
+            for ply in waiting:
                 self.run(now, ply)
         return self.said()
 
@@ -167,8 +183,10 @@
         return self.said()
 
     def wake(self, now, label):
-        ply = self.plays.get(self.wakes.pop(label, None))
-        if ply:
+        ply = self.wakes.pop(label, None)
+        if label == 0:
+            self.look(now)
+        elif ply:
             self.run(now, ply)
         return self.said()
 
@@ -192,9 +210,7 @@
 
     def in_time(self, now, ply):
         # 30 ms, three ticks of the slowest driver met so far: what starts later than that can't be answered
-        if ply.limit - now <= 300:
-            return self.decline(ply)
-        return PASS
+        return PASS if ply.limit - now > 300 else self.decline(ply)
 
     def answer(self, now, ply, allocation, how):
         """Last on the way back: what nothing else has answered gets its answer."""
@@ -203,12 +219,10 @@
 
     def rationed(self, now, ply):
         tried, share = len(ply.allocations), self.card.get("rules.extra_per_request")
-        if not tried:
-            return PASS
         spent = ply.may_have_run and ply.product["idempotency"] != "pure"
-        if spent or tried >= self.card["permissions.max_allocations"]:
+        if tried and (spent or tried >= self.card["permissions.max_allocations"]):
             return self.decline(ply)
-        if share is not None:
+        if tried and share is not None:
             since = now - self.card["rules.look_back"]
             for times in (self.takes, self.further):
                 while times and times[0] <= since:
@@ -229,16 +243,15 @@
 
     def holding(self, now, ply):
         """The nodes that hold the title, serve, and are not in doubt unless all of them are."""
-        nodes = [n for n in self.nodes.values() if n.row.state == "serving"
-                 and n.row.place % max(1, self.card["specifics.places"]) in ply.cells]
+        nodes = [n for cell in ply.cells for n in self.cells.get(cell, ()) if n.row.state == "serving"]
         fresh = [n for n in nodes if n not in [a.node for a in ply.allocations]]
         ply.nodes = [n for n in fresh if not self.doubtful(now, n, ply)] or fresh or nodes
         return PASS if ply.nodes else self.decline(ply)
 
     def health(self, now, ply, allocation, how):
         node = allocation.node
-        if how == "ok":
-            self.proved(now, node)
+        if how == "full":
+            node.full_at = now
         elif how in ("late", "error"):
             node.doubt, node.doubted_at = node.doubt + 1, now
         elif how in ("broken", "unreached"):
@@ -247,20 +260,13 @@
 
     def doubtful(self, now, node, ply):
         """Symptom: set-ups end unanswered, or one is out for far longer than set-ups take."""
-        if any(now - p.allocations[-1].sent > self.patience(p) // 2 for p in node.plays.values()
-               if not p.answered):
-            return True
-        if not node.doubt:
-            return False
+        out = [p for p in node.plays.values() if not p.answered]
+        late = any(now - p.allocations[-1].sent > self.patience(p) // 2 for p in out)
+        if late or not node.doubt:
+            return late
         # 2 s after the first silence, doubled up to 8 s: then one harmless set-up at a time is the test
         wait = 2 * SECOND * 2 ** min(2, node.doubt - 1)
-        busy = any(not p.answered for p in node.plays.values())
-        return now - node.doubted_at < wait or busy or ply.product["idempotency"] != "pure"
-
-    def proved(self, now, node):
-        node.doubt = 0
-        if node.broken:
-            node.broken, node.cold_from = False, now
+        return now - node.doubted_at < wait or out or ply.product["idempotency"] != "pure"
 
     def streaming(self, now, ply):
         """The stream test: this front's own plays against the kind's most streams."""
@@ -268,50 +274,39 @@
         if seats and sum(p.title == ply.title and p.product is ply.product and bool(p.allocations)
                          for p in self.plays.values()) >= seats:
             return self.decline(ply)
-        ply.nodes = [n for n in ply.nodes if len(n.plays) < n.streams and not self.refusing(now, n)]
+        # passed over for 1 s after a refusal as full: about what a load report takes to change
+        ply.nodes = [n for n in ply.nodes if len(n.plays) < n.streams and now - n.full_at >= SECOND]
         return PASS if ply.nodes else self.decline(ply)
 
-    def filled(self, now, ply, allocation, how):
-        if how == "full":
-            allocation.node.full_at = now
-
-    def refusing(self, now, node):
-        # 1 s: about what a load report takes to change
-        return node.full_at is not None and now - node.full_at < SECOND
-
     def warming(self, now, ply):
         """A node that may have started lately gets this front's share of most of the pace that it bears."""
-        ply.nodes = [n for n in ply.nodes if self.paced(now, n)]
-        return PASS if ply.nodes else self.decline(ply)
-
-    def paced(self, now, node):
-        warm = self.card["rules.warm_within"]
-        if not node.broken and (node.cold_from is None or now - node.cold_from >= warm):
-            return True
-        window = self.card["rules.fall"]
-        while node.starts and node.starts[0] <= now - window:
-            node.starts.popleft()
-        bears = self.card["rules.overload_factor"] * node.streams / warm * self.card["rules.start_capacity"]
+        warm, window = self.card["rules.warm_within"], self.card["rules.fall"]
         # Three quarters: set-ups differ in work. Half came to one in 3 s and declined plays for nothing.
-        return len(node.starts) < max(1, int(0.75 * bears * window / self.fronts))
-
-    def thawed(self, now, ply, allocation, how):
-        if how in ("full", "unreached", "not_sent") and allocation.node.starts:
-            allocation.node.starts.pop()
+        pace = 0.75 * self.card["rules.overload_factor"] * self.card["rules.start_capacity"] * window / warm
+        ply.nodes = [n for n in ply.nodes if not n.broken and now - n.cold_from >= warm or
+                     sum(at > now - window for at in n.starts) < max(1, int(pace * n.streams / self.fronts))]
+        return PASS if ply.nodes else self.decline(ply)
 
     def capping(self, now, ply):
         """The lowest-importance product keeps to this front's slice where the node is above the fraction."""
-        if ply.product["importance"] > self.least:
-            return PASS
-        part = 0.5  # the fraction, to start
-        within = []
-        for node in ply.nodes:
-            low = sum(p.product["importance"] <= self.least for p in node.plays.values())
-            above = self.load(now, node) > part or (node.full_at and now - node.full_at < 2 * SECOND)
-            if not above or low < part * node.streams / self.fronts:
-                within.append(node)
-        ply.nodes = within
-        return PASS if within else self.decline(ply)
+        part, over = 0.5, self.over_share(now, ply)  # the fraction, to start
+        if over or ply.product["importance"] <= self.least:
+            above = [n for n in ply.nodes if self.load(now, n) > part or now - n.full_at < 2 * SECOND]
+            ply.nodes = [n for n in ply.nodes if n not in above or not over and
+                         sum(p.product["importance"] <= self.least for p in n.plays.values())
+                         < part * n.streams / self.fronts]
+        return PASS if ply.nodes else self.decline(ply)
+
+    def over_share(self, now, ply):
+        """Whether the play's customer asks for more than its share and this viewer is beyond it."""
+        # Danger: a customer's crowd, worth little beyond its share, stalls every play. Viewers beyond it are
+        # told by their ids, so that all fronts turn the same ones away however often they come again.
+        allowance, times = self.customers.get(ply.customer, (0, ()))
+        while times and times[0] <= now - 5 * SECOND:  # about as long as a crowd takes to build up
+            times.popleft()
+        # told in whole plays a second, so up to half a one more; one deviation off: a front sees few plays
+        allowance, seen = allowance + 0.5, (len(times) - len(times) ** 0.5) / 5 / self.own_part(now)
+        return seen > allowance and crc32(ply.viewer.encode()) % 1000 >= 1000 * allowance / seen
 
     def fitting(self, now, ply):
         """Holders whose reported room lacks even the floor rung are passed over, as if full."""
@@ -319,10 +314,10 @@
         # Catches sagging links, other users of a link, heavy titles and crowds alike.
         need = self.rate(ply, ply.floor)
         part = 1 if ply.product["importance"] > self.least else 0.9  # the last tenth is kept for dearer ones
-        nodes = [n for n in ply.nodes if self.room(now, n, part)[0] >= need]
+        ply.nodes = [n for n in ply.nodes if self.room(now, n, part)[0] >= need]
         # Crossing zones has a price: nodes of the own zone first, while one is under four fifths of its load.
-        near = [n for n in nodes if n.row.zone == self.card["zone"] and self.load(now, n) < 0.8]
-        ply.nodes = near or nodes
+        near = [n for n in ply.nodes if n.row.zone == self.card["zone"] and self.load(now, n) < 0.8]
+        ply.nodes = near or ply.nodes
         return PASS if ply.nodes else self.decline(ply)
 
     def drawing(self, now, ply):
@@ -330,31 +325,31 @@
         if not ply.pair or not all(n in ply.nodes for n in ply.pair):
             first = ply.nodes[self.chance(len(ply.nodes))]
             rest = [n for n in ply.nodes if n is not first]
-            ply.pair, ply.asked_at = [first] + ([rest[self.chance(len(rest))]] if rest else []), None
-        if self.card["report.how"] == "on_probe" and ply.asked_at is None:
-            # 3 s: asking for younger ones cost twice the probes and gained nothing
-            stale = [n for n in ply.pair if n.heard_at is None or now - n.heard_at > 3 * SECOND]
-            for node in stale:
-                self.probe(now, node)
-            if stale:
-                ply.asked_at = now
-                return self.keep(ply, 600)  # 60 ms: several times what a probe takes on a sound node
-        ply.nodes = [min(ply.pair, key=lambda n: self.load(now, n))]
+            ply.pair, ply.asked = [first] + ([rest[self.chance(len(rest))]] if rest else []), False
+        node = min(ply.pair, key=lambda n: self.load(now, n))
+        # 3 s: asking for younger ones cost twice the probes and gained nothing; nor did asking both
+        if self.card["report.how"] == "on_probe" and not ply.asked and now - node.heard_at > 3 * SECOND:
+            ply.asked = True
+            node.waiting.append(ply)
+            self.probe(node)
+            self.labels += 1
+            self.wakes[self.labels] = ply
+            self.out.append(("wake", 600, self.labels))  # 60 ms: several times what a sound node takes
+            return KEEP
+        ply.nodes = [node]
         return PASS
 
     def shaping(self, now, ply):
         """The rung rule: the highest rung that fits the room, the middle one where a report is missing."""
         node, (room, known) = ply.nodes[0], self.room(now, ply.nodes[0])
         top = self.top(ply, node) if known else min(ply.top, max(ply.floor, self.middle))
-        fits = [r for r in range(ply.floor, top + 1) if self.rate(ply, r) <= room]
-        ply.rung = fits[-1] if fits else ply.floor
+        ply.rung = max([ply.floor] + [r for r in range(ply.floor, top + 1) if self.rate(ply, r) <= room])
         while ply.rung < min(ply.top, self.middle):
             more = self.rate(ply, ply.rung + 1) - self.rate(ply, ply.rung)
-            gain = self.loss(ply, ply.rung + 1) / more
             others = [p for p in node.plays.values() if p.answered and p.rung > p.floor
                       and now - p.stepped > 5 * SECOND and self.drop(p) >= more]
             other = min(others, key=lambda p: self.loss(p) / self.drop(p), default=None)
-            if other is None or 1.5 * self.loss(other) / self.drop(other) > gain:
+            if not other or 1.5 * self.loss(other) / self.drop(other) > self.loss(ply, ply.rung + 1) / more:
                 return PASS
             self.step(now, other, other.rung - 1)
             ply.rung += 1
@@ -364,20 +359,18 @@
         node = ply.nodes[0]
         if ply.allocations:
             self.further.append(now)
-        left, ply.pair = ply.limit - now, []
+        ply.pair, node.plays[ply.id] = [], ply
         ply.allocations.append(Allocation(node, now))
-        node.plays[ply.id] = ply
         node.starts.append(now)
         self.change(now, node, self.rate(ply, ply.rung))
-        self.out.append(("rung", ply.id, ply.rung))
-        self.out.append(("allocate", ply.id, node.id, min(left, self.patience(ply))))
+        span = min(ply.limit - now, self.patience(ply))
+        self.out += [("rung", ply.id, ply.rung), ("allocate", ply.id, node.id, span)]
         return END
 
     def settle(self, now, ply, allocation, how):
         """First on the way back: the books are put right."""
         allocation.out = False
-        if how not in ("full", "unreached", "not_sent"):
-            ply.may_have_run = True
+        ply.may_have_run = ply.may_have_run or how not in ("full", "unreached", "not_sent")
         if allocation.node.plays.pop(ply.id, None):
             self.change(now, allocation.node, -self.rate(ply, ply.rung))
 
@@ -386,24 +379,40 @@
     def rate(self, ply, rung):
         return self.ladder[rung] * ply.product["scale"]
 
+    def asks(self, plays):
+        return sum(self.rate(p, p.rung) for p in plays.values())
+
     def change(self, now, node, kb):
         # Danger: thousands of plays in one batch; changes of one moment are kept as one, old ones dropped.
-        up, down = node.changes.pop()[1:] if node.changes and node.changes[-1][0] == now else (0, 0)
-        node.changes.append((now, up + max(kb, 0), down + min(kb, 0)))
-        while node.changes[0][0] < now - 10 * SECOND:
-            node.changes.popleft()
+        for changes in (node.changes, node.rack.changes, self.changes):
+            kept = changes.pop()[1] if changes and changes[-1][0] == now else 0
+            changes.append((now, kept + kb))
+            while changes[0][0] < now - 10 * SECOND:
+                changes.popleft()
+
+    def since(self, now, place, when):
+        """What use of a node or rack has changed by since a report: own changes there, and others' all over.
 
-    def since(self, node, when):
-        # Danger: in a surge every front places into the same room before any report tells of it. Others are
-        # taken to place half as much each as this one, since plays are spread unevenly.
-        return sum(up * (1 + self.fronts) / 2 + down for at, up, down in node.changes if at > when)
+        Danger: in a surge every front places into the same room before any report tells of it. The others are
+        taken to have placed as this front has, each as much as its part of all plays, over the whole fleet.
+        """
+        own, all_over = (sum(kb for at, kb in c if at > when) for c in (place.changes, self.changes))
+        return own + max(0, all_over) * (1 / self.own_part(now) - 1) * place.link / self.links
+
+    def own_part(self, now):
+        """The part of all that is asked of the fleet that this front's plays ask, reckoned once a second."""
+        if now - self.part[0] >= SECOND:
+            even, old = 1 / self.fronts, now - 5 * SECOND
+            heard = [n for n in self.nodes.values() if n.heard_at >= old]
+            asked = sum(n.heard * n.link for n in heard) * self.links / (sum(n.link for n in heard) or 1)
+            # viewers lean, but a front holds few plays: the even part counts as much as what is seen
+            self.part = now, min(1, (even + self.asks(self.plays) / asked) / 2) if asked else even
+        return self.part[1]
 
     def hear(self, now, node, report, when=None):
-        if when is None:
-            when = now - SECOND // 2  # reports are refreshed and delayed by a fraction of a second, untold
-        link = report.get("link_asked", report.get("link_share"))
-        if link is not None:
-            node.heard, node.heard_at = link, when
+        when = when or now - SECOND // 2  # reports are refreshed and delayed by fractions of a second
+        if "link_asked" in report or "link_share" in report:
+            node.heard, node.heard_at = report.get("link_asked", report.get("link_share")), when
         if "uplink_asked" in report:
             node.rack.heard, node.rack.heard_at = report["uplink_asked"], when
         if report:
@@ -411,67 +420,54 @@
 
     def use(self, now, node):
         """Reported use of the link and of the uplink share, own changes since then added; None: no report."""
-        old = now - 5 * SECOND  # about as long as a tenth of the plays last: by then others play there
-        if node.heard is None or node.heard_at < old:
+        old, rack, uplink = now - 5 * SECOND, node.rack, 0  # 5 s: about as long as a tenth of the plays last
+        if node.heard_at < old:
             return None
-        link = node.heard * node.link + self.since(node, node.heard_at)
-        rack = node.rack
-        if rack.heard is None or rack.heard_at < old:
-            # Danger: nobody reports this uplink, and a surge overruns it unseen. It counts as full once the
-            # rack's links, half of them heard, ask a tenth more than its figure, which is only a mean.
-            if rack.full[0] != now:  # reckoned once a moment
-                heard = [n for n in rack.nodes if n.heard is not None and n.heard_at >= old]
-                links, whole = (sum(n.link for n in nodes) for nodes in (heard, rack.nodes))
-                asked = sum(n.heard * n.link + self.since(n, n.heard_at) for n in heard)
-                limit = 1.1 * links * self.card["specifics.uplink_kb"]
-                rack.full = now, 2 * links >= whole and asked * whole > limit
-            return link, float("inf") if rack.full[1] else 0
-        uplink = rack.heard * self.card["specifics.uplink_kb"]
-        uplink += sum(self.since(n, rack.heard_at) for n in rack.nodes)
-        return link, uplink * node.share / self.card["specifics.uplink_kb"]
+        if rack.heard_at >= old:
+            uplink = rack.heard * self.card["specifics.uplink_kb"] + self.since(now, rack, rack.heard_at)
+        return node.heard * node.link + self.since(now, node, node.heard_at), uplink * node.link / rack.link
 
     def room(self, now, node, part=0.9):
         use = self.use(now, node)
         if use is None:
-            own = sum(self.rate(p, p.rung) for p in node.plays.values())
-            return min(node.link, node.share) - own, False
+            return min(node.link, node.share) - self.asks(node.plays), False
         return min(part * node.link - use[0], part * node.share - use[1]), True
 
     def load(self, now, node):
-        """The part of a node's link or uplink share in use; of which nothing is heard counts as average."""
-        if node.short_at is not None:
+        """The part of a node's link or uplink share in use; an unheard one counts as average."""
+        # Danger: the note that calls a shortage off goes to plays there; this front may hold none any more.
+        if now - node.short_at < 3 * SECOND:  # notes come once a second
             return 1.5
         use = self.use(now, node)
         if use is not None:
             return max(use[0] / node.link, use[1] / node.share)
         if self.average[0] != now:
-            heard = [self.load(now, n) for n in self.nodes.values() if self.use(now, n) is not None]
-            self.average = now, sum(heard) / max(1, len(heard))
+            heard = [self.load(now, n) for n in self.nodes.values() if now - n.heard_at <= 5 * SECOND]
+            self.average = now, sum(heard) / (len(heard) or 1)
         return self.average[1]
 
     def short(self, now, node, delivered):
         """A note of short delivery: this front's plays there step down one rung, then 2 s of deaf ears.
 
         Danger: the paper's network never blocks, a rack's uplink does. Unless the node's own link is reported
-        full, all nodes of the rack hear the note at once, and all their plays would step down. Then only so
-        many plays step, dearest in rate for what they lose first, as cover this front's part of the shortage.
+        full, all nodes of the rack hear the note at once. Then only so many plays step, dearest in rate for
+        what they lose first, as cover this front's part of the shortage.
         """
-        if delivered >= 0.98:
-            node.short_at = None
-            return
-        node.short_at = now
+        node.short_at = now if delivered < 0.98 else NEVER
         # The 2 s run from when a note could first tell of the last steps: notes tell of a time gone by.
-        if node.eased_at is not None and now - node.eased_at < 2 * SECOND + self.card["specifics.told_late"]:
+        if delivered >= 0.98 or now - node.eased_at < 2 * SECOND + self.card["specifics.told_late"]:
             return
-        node.eased_at = now
+        node.eased_at, surplus = now, float("inf")
         steps = [p for p in node.plays.values() if p.answered and p.rung > p.floor]
-        surplus = None
-        if not (self.use(now, node) and node.heard >= 0.95):  # reports are off by a few hundredths
+        if now - node.heard_at > 5 * SECOND or node.heard < 0.95:  # reports are off by a few hundredths
             steps.sort(key=lambda p: self.loss(p) / self.drop(p))
-            surplus = sum(self.rate(p, p.rung) for p in node.plays.values()) * (1 - 0.95 * delivered)
+            surplus = self.asks(node.plays) * (1 - 0.95 * delivered)
+        # Danger: many fronts with a play or two each would all step. Where reports come unasked the last step
+        # is left to chance; where they don't, notes are all there is: better too much than too little.
+        odds = 1000 if self.card["report.how"] == "inline" else 1
         for ply in steps:
-            if surplus is None or surplus > 0:
-                surplus = surplus and surplus - self.drop(ply)
+            if self.chance(odds) * self.drop(ply) < odds * surplus:
+                surplus -= self.drop(ply)
                 self.step(now, ply, ply.rung - 1)
 
     def loss(self, ply, rung=None):
@@ -484,21 +480,32 @@
 
     def lift(self, now, node):
         """Plays step up one rung when room holds the step, 10 s after the last note and the last step."""
-        # Danger: all fronts hear of the same room at the same time; each takes its part of it.
-        pause = 10 * SECOND
-        if node.short_at is not None or (node.eased_at is not None and now - node.eased_at < pause):
+        # Danger: all fronts hear of the same room at once. Each play steps with the chance at which all plays
+        # there, whoever holds them, would fill the room if they stepped like this one.
+        pause, use = 10 * SECOND, self.use(now, node)
+        if use is None or now - max(node.short_at, node.eased_at) < pause:
             return
+        link, share = max(use[0], 1), max(use[1], 1 if node.rack.heard_at > NEVER else use[0], 1)
+        spare = min(0.9 * node.link / link, 0.9 * node.share / share) - 1
         for ply in node.plays.values():
             if ply.answered and ply.rung < self.top(ply, node) and now - ply.stepped >= pause:
-                room, known = self.room(now, node)
-                if known and node.rack.heard is None:
-                    room = min(room, 0.9 * node.share - self.use(now, node)[0])
-                if known and self.rate(ply, ply.rung + 1) - self.rate(ply, ply.rung) <= room / self.fronts:
+                step = self.rate(ply, ply.rung + 1) - self.rate(ply, ply.rung)
+                odds = spare * self.rate(ply, ply.rung) / step
+                if step <= spare * min(link, share) and self.chance(1000) < 1000 * odds:
                     self.step(now, ply, ply.rung + 1)
 
     def top(self, ply, node):
         """The viewer's highest rung; the middle one, as with no report, where no uplink is reported."""
-        return ply.top if node.rack.heard is not None else min(ply.top, max(ply.floor, self.middle))
+        return ply.top if node.rack.heard_at > NEVER else min(ply.top, max(ply.floor, self.middle))
+
+    def look(self, now):
+        """Where nodes report only when asked: plays that could step up look for room, ever more seldom."""
+        for ply in [p for p in self.plays.values() if p.answered and p.allocations]:
+            node, due = ply.allocations[-1].node, ply.looked + 10 * SECOND * 2 ** ply.looks
+            if now >= due and ply.rung < self.top(ply, node) and now - node.short_at > 10 * SECOND:
+                ply.looked, ply.looks = now, ply.looks + 1
+                self.probe(node)
+        self.out.append(("wake", 2 * SECOND, 0))
 
     def step(self, now, ply, rung):
         self.change(now, ply.allocations[-1].node, self.rate(ply, rung) - self.rate(ply, ply.rung))
@@ -507,14 +514,12 @@
 
     # ---- small helpers
 
-    def take(self, now, play, product, customer, title, limit, first_place, places, top_rung):
-        count = max(1, self.card["specifics.places"])
-        cells = {(first_place + i) % count for i in range(places)}
-        terms = self.products[product]
+    def take(self, now, play, product, customer, viewer, title, limit, first_place, places, top_rung):
+        count, terms = max(1, self.card["specifics.places"]), self.products[product]
+        cells = [(first_place + i) % count for i in range(min(places, count))]
         top = max(terms["floor"], min(top_rung, terms["top"], len(self.ladder) - 1))
-        ply = self.plays[play] = Play(play, terms, customer, limit, cells, top, now)
-        ply.title = title
-        return ply
+        self.plays[play] = Play(now, terms, play, customer, viewer, title, limit, cells, top)
+        return self.plays[play]
 
     def said(self):
         out, self.out = self.out, []
@@ -525,24 +530,17 @@
         return crc32(f"{self.seed}:{self.draws}".encode()) % below
 
     def patience(self, ply):
-        """How long an allocation may take: where another may follow, 0.4 of the first-frame target, so that
-        two silent nodes still leave time for a third; the whole time limit where the product is paid for."""
-        if ply.product["idempotency"] != "pure":
-            return ply.limit - ply.taken
+        """How long an allocation may take: all there is if it is the last or paid for, else 0.4 of the
+        first-frame target, so that two silent nodes leave time for a third."""
         last = len(ply.allocations) >= self.card["permissions.max_allocations"]
-        return ply.limit - ply.taken if last else int(0.4 * ply.product["first_frame_target"])
+        alone = last or ply.product["idempotency"] != "pure"
+        return ply.limit - ply.taken if alone else int(0.4 * ply.product["first_frame_target"])
 
-    def probe(self, now, node):
+    def probe(self, node):
         if self.card["permissions.probes"] and not node.probe_out:
-            node.probe_out = now
+            node.probe_out = True
             self.out.append(("probe", node.id))
 
-    def keep(self, ply, span):
-        self.labels += 1
-        self.wakes[self.labels] = ply.id
-        self.out.append(("wake", span, self.labels))
-        return KEEP
-
     def decline(self, ply):
         """The final answer of a play that gets no node; a paid one that may have run can only be failed."""
         ply.answered = True
