Unheard holders pass the room test only while the average of the heard ones has room

Cause: at 60 to 200 fronts most holders are unheard, and each front took them for empty but for its own plays: crowds flooded them unseen. Two imaginary half-full nodes steady the average. Also catches: lost reports, racks that go silent. May hurt where the few heard are the full ones.

--- a/curlewhall/policy.py
+++ b/curlewhall/policy.py
@@ -314,7 +314,9 @@
         # Catches sagging links, other users of a link, heavy titles and crowds alike.
         need = self.rate(ply, ply.floor)
         part = 1 if ply.product["importance"] > self.least else 0.9  # the last tenth is kept for dearer ones
-        ply.nodes = [n for n in ply.nodes if self.room(now, n, part)[0] >= need]
+        # Danger: fronts that see few nodes flood the rest; an unheard one is taken for as full as the average.
+        ply.nodes = [n for n in ply.nodes if self.room(now, n, part)[0] >= need and
+                     (now - n.heard_at <= 5 * SECOND or self.load(now, n) < part)]
         # Crossing zones has a price: nodes of the own zone first, while one is under four fifths of its load.
         near = [n for n in ply.nodes if n.row.zone == self.card["zone"] and self.load(now, n) < 0.8]
         ply.nodes = near or ply.nodes
@@ -443,7 +445,7 @@
             return max(use[0] / node.link, use[1] / node.share)
         if self.average[0] != now:
             heard = [self.load(now, n) for n in self.nodes.values() if now - n.heard_at <= 5 * SECOND]
-            self.average = now, sum(heard) / (len(heard) or 1)
+            self.average = now, (sum(heard) + 1) / (len(heard) + 2)  # as if two more were half full
         return self.average[1]
 
     def short(self, now, node, delivered):
--- a/tests/test_rungs.py
+++ b/tests/test_rungs.py
@@ -195,3 +195,10 @@
 def test_own_zone_first(bench):
     bench.list("changes", ("n0", {"zone": "far"}), ("n1", {"zone": "far"}), ("n2", {"zone": "far"}))
     assert {sent(bench.ask(top=0)[1])[0][2] for _ in range(6)} == {"n3"}
+
+
+@pytest.mark.parametrize(("link", "expected"), [(0.3, "allocate"), (1.4, "decline")])
+def test_an_unheard_node_is_taken_for_as_full_as_the_average(bench, link, expected):
+    for node in ("n0", "n1", "n2"):
+        report(bench, link, 0.1, node)
+    assert verbs(bench.ask("dear", first=3, places=1)[1])[-1] == expected
