--- a/curlewhall/policy.py
+++ b/curlewhall/policy.py
@@ -318,7 +318,7 @@
         ply.nodes = [n for n in ply.nodes if self.room(now, n, part)[0] >= need and
                      (now - n.heard_at <= 5 * SECOND or self.load(now, n) < part)]
         # Crossing zones has a price: nodes of the own zone first, while one is under four fifths of its load.
-        near = [n for n in ply.nodes if n.row.zone == self.card["zone"] and self.load(now, n) < 0.8]
+        near = [n for n in ply.nodes if n.row.zone == self.card["zone"] and self.load(now, n) < 1]
         ply.nodes = near or ply.nodes
         return PASS if ply.nodes else self.decline(ply)
 
@@ -445,7 +445,7 @@
             return max(use[0] / node.link, use[1] / node.share)
         if self.average[0] != now:
             heard = [self.load(now, n) for n in self.nodes.values() if now - n.heard_at <= 5 * SECOND]
-            self.average = now, (sum(heard) + 1) / (len(heard) + 2)  # as if two more were half full
+            self.average = now, (sum(heard) + 1) / (len(heard) + 2)  # two more, half full
         return self.average[1]
 
     def short(self, now, node, delivered):
