--- a/curlewhall/policy.py
+++ b/curlewhall/policy.py
@@ -314,7 +314,7 @@
         # Catches sagging links, other users of a link, heavy titles and crowds alike.
         need = self.rate(ply, ply.floor)
         part = 1 if ply.product["importance"] > self.least else 0.9  # the last tenth is kept for dearer ones
-        # Danger: fronts that see few nodes flood the rest; an unheard one is taken for as full as the average.
+        # Danger: fronts that hear of few nodes flood the rest; an unheard one counts as full as the average.
         ply.nodes = [n for n in ply.nodes if self.room(now, n, part)[0] >= need and
                      (now - n.heard_at <= 5 * SECOND or self.load(now, n) < part)]
         # Crossing zones has a price: nodes of the own zone first, while one is under four fifths of its load.
