--- a/curlewhall/policy.py
+++ b/curlewhall/policy.py
@@ -65,7 +65,8 @@
         self.customers = {c["name"]: (c["allowance_per_s"], deque()) for c in rate_card["customers"]}
         self.least = min(p["importance"] for p in self.products.values())
         self.ladder, self.fronts = rate_card["specifics.rung_kb"], max(1, rate_card["fronts"])
-        self.middle = (len(self.ladder) - 1) // 2
+        self.middle, worth = (len(self.ladder) - 1) // 2, rate_card["specifics.level_worth"]
+        self.best = max(range(len(worth)), key=lambda r: worth[r] / self.ladder[r])  # worth most for its rate
         self.plays, self.nodes, self.racks, self.cells = {}, {}, {}, {}
         self.takes, self.further = deque(), deque()  # for the budget of further allocations
         self.wakes, self.labels, self.out, self.average = {}, 0, [], (NEVER, 0)
@@ -312,7 +313,7 @@
         """Holders whose reported room lacks even the floor rung are passed over, as if full."""
         # Danger: one play too many stalls all plays on a link or uplink; at 85% delivered they earn nothing.
         # Catches sagging links, other users of a link, heavy titles and crowds alike.
-        need = self.rate(ply, ply.floor)
+        need = self.rate(ply, max(ply.floor, min(ply.top, self.best)))
         part = 1 if ply.product["importance"] > self.least else 0.9  # the last tenth is kept for dearer ones
         # Danger: fronts that hear of few nodes flood the rest; an unheard one counts as full as the average.
         ply.nodes = [n for n in ply.nodes if self.room(now, n, part)[0] >= need and
@@ -464,11 +465,10 @@
         if now - node.heard_at > 5 * SECOND or node.heard < 0.95:  # reports are off by a few hundredths
             steps.sort(key=lambda p: self.loss(p) / self.drop(p))
             surplus = self.asks(node.plays) * (1 - 0.95 * delivered)
-        # Danger: many fronts with a play or two each would all step. Where reports come unasked the last step
-        # is left to chance; where they don't, notes are all there is: better too much than too little.
-        odds = 1000 if self.card["report.how"] == "inline" else 1
+        # Danger: many fronts with a play or two each would all step, and few dare up again. So the last step
+        # is left to chance, at twice the shortage: once lets it go on too long, four times wastes rungs.
         for ply in steps:
-            if self.chance(odds) * self.drop(ply) < odds * surplus:
+            if self.chance(500) * self.drop(ply) < 1000 * surplus:
                 surplus -= self.drop(ply)
                 self.step(now, ply, ply.rung - 1)
 
@@ -520,8 +520,7 @@
         count, terms = max(1, self.card["specifics.places"]), self.products[product]
         cells = [(first_place + i) % count for i in range(min(places, count))]
         top = max(terms["floor"], min(top_rung, terms["top"], len(self.ladder) - 1))
-        self.plays[play] = Play(now, terms, play, customer, viewer, title, limit, cells, top)
-        return self.plays[play]
+        return self.plays.setdefault(play, Play(now, terms, play, customer, viewer, title, limit, cells, top))
 
     def said(self):
         out, self.out = self.out, []
