Young nodes bear the whole fleet's crowd: let through by chance; looks for room only while the average is low

The crowd is reckoned from this front's own plays and its part of the fleet; past what a young node bears, chance lets plays through, so that the fronts' sum stays under the limit.

--- a/curlewhall/policy.py
+++ b/curlewhall/policy.py
@@ -69,9 +69,10 @@
         self.best = max(range(len(worth)), key=lambda r: worth[r] / self.ladder[r])  # worth most for its rate
         self.plays, self.nodes, self.racks, self.cells = {}, {}, {}, {}
         self.takes, self.further = deque(), deque()  # for the budget of further allocations
-        self.wakes, self.labels, self.out, self.average = {}, 0, [], (NEVER, 0)
+        self.wakes, self.labels, self.average = {}, 0, (NEVER, 0)
+        self.out = [("wake", self.chance(2 * SECOND), 0)] if rate_card["report.how"] == "on_probe" else []
         self.changes, self.links, self.part = deque(), 1, (NEVER, 1)
-        self.chain = [(self.in_time, self.answer), (self.rationed, self.again), (self.holding, self.health),
+        self.chain = [(self.in_time, None), (self.rationed, self.again), (self.holding, self.health),
                       (self.streaming, None), (self.warming, None), (self.capping, None),
                       (self.fitting, None), (self.drawing, None), (self.shaping, None),
                       (self.sending, self.settle)]
@@ -79,8 +80,6 @@
     # ---- called from outside, as interface.py tells
 
     def listed(self, now, how, rows):
-        if not self.nodes and self.card["report.how"] == "on_probe":
-            self.out.append(("wake", self.chance(2 * SECOND), 0))
         changed, named = False, {row.node for row in rows}
         for row in rows:
             node = self.nodes.get(row.node)
@@ -119,6 +118,8 @@
     def asked(self, now, play, product, customer, viewer, title, limit, first_place, places, top_rung,
               length, moved, again):
         self.takes.append(now)
+        while self.takes[0] <= now - max(self.card["rules.fall"], self.card.get("rules.look_back", 0)):
+            self.takes.popleft()
         if customer in self.customers and not again:
             self.customers[customer][1].append(now)
         ply = self.take(now, play, product, customer, viewer, title, limit, first_place, places, top_rung)
@@ -127,10 +128,10 @@
 
     def resumed(self, now, play, product, customer, viewer, title, first_place, places, top_rung, length,
                 node):
-        ply = self.take(now, play, product, customer, viewer, title, now, first_place, places, top_rung)
-        ply.looked -= self.chance(10 * SECOND)
-        ply.answered, ply.stepped = True, now - 10 * SECOND  # this front has not stepped it: free to step up
         if node in self.nodes:
+            ply = self.take(now, play, product, customer, viewer, title, now, first_place, places, top_rung)
+            ply.looked -= self.chance(10 * SECOND)
+            ply.answered, ply.stepped = True, now - 10 * SECOND  # not stepped by this front: free to step up
             ply.allocations.append(Allocation(self.nodes[node], now))
             self.nodes[node].plays[play] = ply
         return self.said()
@@ -213,11 +214,6 @@
         # 30 ms, three ticks of the slowest driver met so far: what starts later than that can't be answered
         return PASS if ply.limit - now > 300 else self.decline(ply)
 
-    def answer(self, now, ply, allocation, how):
-        """Last on the way back: what nothing else has answered gets its answer."""
-        if not ply.answered:
-            self.decline(ply)
-
     def rationed(self, now, ply):
         tried, share = len(ply.allocations), self.card.get("rules.extra_per_request")
         spent = ply.may_have_run and ply.product["idempotency"] != "pure"
@@ -225,9 +221,8 @@
             return self.decline(ply)
         if tried and share is not None:
             since = now - self.card["rules.look_back"]
-            for times in (self.takes, self.further):
-                while times and times[0] <= since:
-                    times.popleft()
+            while self.further and self.further[0] <= since:
+                self.further.popleft()
             # Danger: the bench's window and this one may differ by a tick at either end, so the oldest
             # second of the takes is left out and one allocation is kept back.
             takes = sum(t > since + SECOND for t in self.takes)
@@ -284,8 +279,12 @@
         warm, window = self.card["rules.warm_within"], self.card["rules.fall"]
         # Three quarters: set-ups differ in work. Half came to one in 3 s and declined plays for nothing.
         pace = 0.75 * self.card["rules.overload_factor"] * self.card["rules.start_capacity"] * window / warm
-        ply.nodes = [n for n in ply.nodes if not n.broken and now - n.cold_from >= warm or
-                     sum(at > now - window for at in n.starts) < max(1, int(pace * n.streams / self.fronts))]
+        # Danger: one set-up from each of a hundred fronts is a hundred. Where all plays of a window, twice
+        # the even part since two are drawn, are more than a node bears, chance lets them through.
+        crowd = 2 * sum(at > now - window for at in self.takes) / self.own_part(now) / len(self.nodes)
+        ply.nodes = [n for n in ply.nodes if (not n.broken and now - n.cold_from >= warm) or (
+                     sum(at > now - window for at in n.starts) < max(1, int(pace * n.streams / self.fronts))
+                     and self.chance(1000) * crowd < 1000 * pace * n.streams)]
         return PASS if ply.nodes else self.decline(ply)
 
     def capping(self, now, ply):
@@ -504,7 +503,7 @@
         """Where nodes report only when asked: plays that could step up look for room, ever more seldom."""
         for ply in [p for p in self.plays.values() if p.answered and p.allocations]:
             node, due = ply.allocations[-1].node, ply.looked + 10 * SECOND * 2 ** ply.looks
-            if now >= due and ply.rung < self.top(ply, node) and now - node.short_at > 10 * SECOND:
+            if now >= due and ply.rung < self.top(ply, node) and self.load(now, node) < 0.7:
                 ply.looked, ply.looks = now, ply.looks + 1
                 self.probe(node)
         self.out.append(("wake", 2 * SECOND, 0))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -58,6 +58,20 @@
     assert asked.count("allocate") <= 2 and "decline" in asked
 
 
+@pytest.mark.parametrize(("fronts", "asks", "least", "most"), [(100, 40, 0, 1), (1, 1, 1, 1)])
+def test_a_crowd_over_many_fronts_spares_a_young_node(make, fronts, asks, least, most):
+    bench = make(fronts=fronts)
+    bench.list("changes", ("n0", {"started": bench.now}))
+    taken = [a[2] for _ in range(asks) for a in sent(bench.ask(places=1 if asks == 1 else 4, top=0)[1])]
+    assert least <= taken.count("n0") <= most
+
+
+def test_a_play_resumed_on_an_unknown_node_is_let_be(bench):
+    bench.front.resumed(bench.now, play="r", product="cheap", customer="", viewer="r", title="t",
+                        first_place=0, places=4, top_rung=3, length=None, node="n9")
+    assert bench.end("r", "ok", "n9", final=True) == []
+
+
 def test_floor_and_seats(make):
     bench = make(**{"specifics.seats": [2, 0, 0]})
     rungs = [a[2] for _ in range(12) for a in bench.ask("paid")[1] if a[0] == "rung"]
