--- a/curlewhall/policy.py
+++ b/curlewhall/policy.py
@@ -51,7 +51,7 @@
 
     def __init__(self):
         self.nodes, self.link, self.changes = [], 1, deque()
-        self.heard, self.heard_at = 0, NEVER
+        self.heard, self.heard_at, self.short_at = 0, NEVER, NEVER
 
 
 class Front:
@@ -154,8 +154,8 @@
             ply.answered = ply.answered or final
             allocation = ply.allocations[number]
             for _, back in reversed(self.chain):
-                if back and back(now, ply, allocation, how) is END:
-                    break
+                if back:
+                    back(now, ply, allocation, how)
             if ply.answered and not ply.out():
                 self.plays.pop(play, None)
         return self.said()
@@ -231,11 +231,9 @@
         return PASS
 
     def again(self, now, ply, allocation, how):
-        if ply.answered:
-            return END
-        ply.pair = []
-        self.run(now, ply)
-        return END
+        if not ply.answered:
+            ply.pair = []
+            self.run(now, ply)
 
     def holding(self, now, ply):
         """The nodes that hold the title, serve, and are not in doubt unless all of them are."""
@@ -446,7 +444,8 @@
         if self.average[0] != now:
             heard = [self.load(now, n) for n in self.nodes.values() if now - n.heard_at <= 5 * SECOND]
             self.average = now, (sum(heard) + 1) / (len(heard) + 2)  # two more, half full
-        return self.average[1]
+        # Danger: an uplink that nobody reports sags. Unheard nodes of a rack told short keep the least out.
+        return max(self.average[1], 0.95 if now - node.rack.short_at < 3 * SECOND else 0)
 
     def short(self, now, node, delivered):
         """A note of short delivery: this front's plays there step down one rung, then 2 s of deaf ears.
@@ -463,6 +462,7 @@
         steps = [p for p in node.plays.values() if p.answered and p.rung > p.floor]
         if now - node.heard_at > 5 * SECOND or node.heard < 0.95:  # reports are off by a few hundredths
             steps.sort(key=lambda p: self.loss(p) / self.drop(p))
+            node.rack.short_at = now if node.rack.heard_at == NEVER else NEVER
             surplus = self.asks(node.plays) * (1 - 0.95 * delivered)
         # Danger: many fronts with a play or two each would all step, and few dare up again. So the last step
         # is left to chance, at twice the shortage: once lets it go on too long, four times wastes rungs.
--- a/tests/test_rungs.py
+++ b/tests/test_rungs.py
@@ -208,3 +208,13 @@
     for node in ("n0", "n1", "n2"):
         report(bench, link, 0.1, node)
     assert verbs(bench.ask("dear", first=3, places=1)[1])[-1] == expected
+
+
+@pytest.mark.parametrize(("product", "after", "node", "expected"), [
+    ("cheap", 1, 2, "decline"), ("dear", 1, 2, "allocate"), ("cheap", 1, 1, "allocate"),
+    ("cheap", 4, 2, "allocate")])
+def test_a_note_counts_for_the_unheard_of_a_rack_that_nobody_reports(bench, product, after, node, expected):
+    play, _ = bench.play(places=1)
+    bench.front.note(bench.now, play, 0, "n0", "delivered", 0.9)
+    bench.wait(after)
+    assert verbs(bench.ask(product, first=node, places=1)[1])[-1] == expected
