--- a/curlewhall/policy.py
+++ b/curlewhall/policy.py
@@ -141,9 +141,8 @@
         if ply:
             ply.answered, ply.stepped = True, now - 10 * SECOND  # its first report may let it step up at once
             proved = ply.allocations[-1].node
-            proved.doubt = 0
-            if proved.broken:
-                proved.broken, proved.cold_from = False, now
+            proved.cold_from = now if proved.broken else proved.cold_from
+            proved.doubt, proved.broken = 0, False
         return self.said()
 
     def ended(self, now, play, number, node, how, final, took, report):
@@ -185,11 +184,10 @@
         return self.said()
 
     def wake(self, now, label):
-        ply = self.wakes.pop(label, None)
         if label == 0:
             self.look(now)
-        elif ply:
-            self.run(now, ply)
+        elif label in self.wakes:
+            self.run(now, self.wakes.pop(label))
         return self.said()
 
     def left(self, now, play):
@@ -246,11 +244,11 @@
         node = allocation.node
         if how == "full":
             node.full_at = now
-        elif how in ("late", "error"):
+        elif how in ("late", "error", "broken", "unreached"):
             node.doubt, node.doubted_at = node.doubt + 1, now
-        elif how in ("broken", "unreached"):
+        if how in ("broken", "unreached"):
             # Danger: the process may be down and come back cold long before the list says so.
-            node.doubt, node.doubted_at, node.broken, node.cold_from = node.doubt + 1, now, True, now
+            node.broken, node.cold_from = True, now
 
     def doubtful(self, now, node, ply):
         """Symptom: set-ups end unanswered, or one is out for far longer than set-ups take."""
@@ -342,8 +340,8 @@
     def shaping(self, now, ply):
         """The rung rule: the highest rung that fits the room, the middle one where a report is missing."""
         node, (room, known) = ply.nodes[0], self.room(now, ply.nodes[0])
-        top = self.top(ply, node) if known else min(ply.top, max(ply.floor, self.middle))
-        ply.rung = max([ply.floor] + [r for r in range(ply.floor, top + 1) if self.rate(ply, r) <= room])
+        rungs = range(ply.floor, self.top(now, ply, node, known) + 1)
+        ply.rung = max([ply.floor] + [r for r in rungs if self.rate(ply, r) <= room])
         while ply.rung < min(ply.top, self.middle):
             more = self.rate(ply, ply.rung + 1) - self.rate(ply, ply.rung)
             others = [p for p in node.plays.values() if p.answered and p.rung > p.floor
@@ -489,21 +487,24 @@
         link, share = max(use[0], 1), max(use[1], 1 if node.rack.heard_at > NEVER else use[0], 1)
         spare = min(0.9 * node.link / link, 0.9 * node.share / share) - 1
         for ply in node.plays.values():
-            if ply.answered and ply.rung < self.top(ply, node) and now - ply.stepped >= pause:
+            if ply.answered and ply.rung < self.top(now, ply, node) and now - ply.stepped >= pause:
                 step = self.rate(ply, ply.rung + 1) - self.rate(ply, ply.rung)
                 odds = spare * self.rate(ply, ply.rung) / step
                 if step <= spare * min(link, share) and self.chance(1000) < 1000 * odds:
                     self.step(now, ply, ply.rung + 1)
 
-    def top(self, ply, node):
-        """The viewer's highest rung; the middle one, as with no report, where no uplink is reported."""
-        return ply.top if node.rack.heard_at > NEVER else min(ply.top, max(ply.floor, self.middle))
+    def top(self, now, ply, node, known=True):
+        """The viewer's highest rung; the middle one where a report is missing, of the node or its uplink."""
+        most = ply.top if known and node.rack.heard_at > NEVER else self.middle
+        # Danger: an unreported uplink fills unseen. 10 s from a note on, the rung worth most for its rate.
+        most = self.best if now - node.rack.short_at < 10 * SECOND else most
+        return min(ply.top, max(ply.floor, most))
 
     def look(self, now):
         """Where nodes report only when asked: plays that could step up look for room, ever more seldom."""
         for ply in [p for p in self.plays.values() if p.answered and p.allocations]:
             node, due = ply.allocations[-1].node, ply.looked + 10 * SECOND * 2 ** ply.looks
-            if now >= due and ply.rung < self.top(ply, node) and self.load(now, node) < 0.7:
+            if now >= due and ply.rung < self.top(now, ply, node) and self.load(now, node) < 0.7:
                 ply.looked, ply.looks = now, ply.looks + 1
                 self.probe(node)
         self.out.append(("wake", 2 * SECOND, 0))
--- a/tests/test_rungs.py
+++ b/tests/test_rungs.py
@@ -210,6 +210,16 @@
     assert verbs(bench.ask("dear", first=3, places=1)[1])[-1] == expected
 
 
+@pytest.mark.parametrize(("after", "expected"), [(4, 1), (11, 2)])
+def test_on_a_rack_told_short_the_rung_worth_most_for_its_rate_is_the_highest(make, after, expected):
+    bench = make(**{"specifics.rung_kb": [50.0, 100.0, 200.0, 400.0, 800.0],
+                    "specifics.highest_rung": [4, 4, 4], "specifics.level_worth": [0.1, 0.4, 0.6, 0.8, 1.0]})
+    play, _ = bench.play(places=1)
+    bench.front.note(bench.now, play, 0, "n0", "delivered", 0.9)
+    bench.wait(after)
+    assert rung(bench.ask(first=2, places=1, top=4)[1]) == expected
+
+
 @pytest.mark.parametrize(("product", "after", "node", "expected"), [
     ("cheap", 1, 2, "decline"), ("dear", 1, 2, "allocate"), ("cheap", 1, 1, "allocate"),
     ("cheap", 4, 2, "allocate")])
