--- a/curlewhall/policy.py
+++ b/curlewhall/policy.py
@@ -300,8 +300,8 @@
         allowance, times = self.customers.get(ply.customer, (0, ()))
         while times and times[0] <= now - 5 * SECOND:  # about as long as a crowd takes to build up
             times.popleft()
-        # told in whole plays a second, so up to half a one more; one deviation off: a front sees few plays
-        allowance, seen = allowance + 0.5, (len(times) - len(times) ** 0.5) / 5 / self.own_part(now)
+        # Twice the share, told in whole plays a second, is surely a crowd; one deviation off: few are seen.
+        allowance, seen = 2 * allowance + 1, (len(times) - len(times) ** 0.5) / 5 / self.own_part(now)
         return seen > allowance and crc32(ply.viewer.encode()) % 1000 >= 1000 * allowance / seen
 
     def fitting(self, now, ply):
