--- a/curlewhall/policy.py
+++ b/curlewhall/policy.py
@@ -305,7 +305,7 @@
         return seen > allowance and crc32(ply.viewer.encode()) % 1000 >= 1000 * allowance / seen
 
     def fitting(self, now, ply):
-        """Holders whose reported room lacks even the floor rung are passed over, as if full."""
+        """Holders whose reported room lacks the rung worth most for its rate are passed over, as if full."""
         # Danger: one play too many stalls all plays on a link or uplink; at 85% delivered they earn nothing.
         # Catches sagging links, other users of a link, heavy titles and crowds alike.
         need = self.rate(ply, max(ply.floor, min(ply.top, self.best)))
@@ -313,7 +313,7 @@
         # Danger: fronts that hear of few nodes flood the rest; an unheard one counts as full as the average.
         ply.nodes = [n for n in ply.nodes if self.room(now, n, part)[0] >= need and
                      (now - n.heard_at <= 5 * SECOND or self.load(now, n) < part)]
-        # Crossing zones has a price: nodes of the own zone first, while one is under four fifths of its load.
+        # Crossing zones has a price: nodes of the own zone first, while one is under its full load.
         near = [n for n in ply.nodes if n.row.zone == self.card["zone"] and self.load(now, n) < 1]
         ply.nodes = near or ply.nodes
         return PASS if ply.nodes else self.decline(ply)
