--- a/tests/test_rungs.py
+++ b/tests/test_rungs.py
@@ -89,6 +89,8 @@
 
 @pytest.mark.parametrize(("after", "expected"), [(1, {"n1"}), (4, {"n0", "n1"})])
 def test_a_shortage_is_forgotten_when_no_note_tells_of_it_any_more(bench, after, expected):
+    for node in ("n0", "n1"):
+        report(bench, 0.1, 0.1, node)
     play, _ = bench.play(places=1, top=0)
     bench.front.note(bench.now, play, 0, "n0", "delivered", 0.5)
     bench.end(play, "ok", "n0", final=True)
