--- /dev/null
+++ b/Makefile
@@ -0,0 +1,22 @@
+# Two commands on a fresh machine: `make demo` and `make test`. Each sets up what it needs.
+PYTHON ?= python3
+
+.venv/ready: requirements.txt requirements-dev.txt
+	test -d .venv || $(PYTHON) -m venv .venv
+	.venv/bin/pip -q install -r requirements.txt -r requirements-dev.txt
+	touch .venv/ready
+
+demo: .venv/ready
+	.venv/bin/python -m curlewhall demo
+
+test: .venv/ready
+	.venv/bin/python -m pytest -q
+
+lint: .venv/ready
+	.venv/bin/ruff check --no-cache .
+
+proto: .venv/ready
+	.venv/bin/python -m grpc_tools.protoc -I curlewhall/settings --python_out=curlewhall/settings \
+	    curlewhall/settings/front.proto
+
+.PHONY: demo test lint proto
--- /dev/null
+++ b/curlewhall/cli/main.py
@@ -0,0 +1,115 @@
+"""Sub-commands of `curlewhall`."""
+
+import json
+import sys
+import time
+from pathlib import Path
+
+import click
+from rich.console import Console
+from rich.table import Table
+
+from . import logs
+
+SHOWN = 12  # records shown of a broken rule
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 100})
+@click.version_option(package_name=None, version="0.2.0", prog_name="curlewhall")
+def main() -> None:
+    """A session front: places video plays on streaming servers and shapes them there."""
+
+
+def settings_of(path: str):
+    """The checked file; a wrong one ends the command with every complaint and code 2."""
+    from curlewhall.settings import WrongFile, load
+
+    try:
+        return load(path)
+    except WrongFile as err:
+        click.echo(str(err), err=True)
+    except OSError as err:
+        click.echo(f"{path}: {err.strerror}", err=True)
+    sys.exit(2)
+
+
+@main.command()
+@click.argument("file", type=click.Path(dir_okay=False))
+@click.option("--policy", default=None, metavar="MODULE:CLASS",
+              help="Another class with the interface of interface.Front, for comparison.")
+def serve(file: str, policy: str | None) -> None:
+    """Run a front in the foreground with the operator's FILE, until SIGTERM or SIGINT."""
+    from curlewhall.front import serve as running
+    from curlewhall.settings import front_pb2
+
+    found = settings_of(file)
+    form = front_pb2.LogForm.Name(found.logs.form).lower()
+    log = logs.make(form, found.logs.level or "info")
+    try:
+        running.run(found, log, running.policy(policy) if policy else None)
+    except (OSError, ValueError) as err:
+        click.echo(f"can't start: {err}", err=True)
+        sys.exit(1)
+
+
+@main.command()
+@click.argument("file", type=click.Path(dir_okay=False))
+def check(file: str) -> None:
+    """Check the operator's FILE and say what a front would be told by it."""
+    from curlewhall.settings import rate_card
+
+    found = settings_of(file)
+    table = Table("name", "value", title=f"{file}: sound")
+    for name, value in sorted(rate_card(found).items()):
+        table.add_row(name, json.dumps(value))
+    Console().print(table)
+
+
+@main.command()
+@click.argument("name")
+@click.option("--draw", type=int, default=None, metavar="SEED",
+              help="Draw troubles, times and sizes by SEED.")
+@click.option("--seconds", type=click.FloatRange(5, 3600), default=20.0, show_default=True)
+@click.option("--nodes", type=click.IntRange(3, 180), default=14, show_default=True)
+@click.option("--fronts", type=click.IntRange(1, 40), default=3, show_default=True)
+@click.option("--policy", default=None, metavar="MODULE:CLASS")
+@click.option("--trouble", multiple=True, metavar="NAME", help="Only these kinds of trouble, by name.")
+@click.option("--json", "out", type=click.Path(dir_okay=False), default=None, help="Write the result here.")
+@click.option("--keep", type=click.Path(file_okay=False), default=None,
+              help="Leave plan, logs and records in this folder.")
+def drill(name, draw, seconds, nodes, fronts, policy, trouble, out, keep) -> None:
+    """Play the bad day NAME on loopback and judge it from the sockets' records.
+
+    Exit code 0: all rules kept and the drill's claims hold; 1: something broke; 2: the call was wrong.
+    """
+    from curlewhall.drills import DRILLS, Day, run
+    from curlewhall.drills.fleet import Failed
+    from curlewhall.front.serve import policy as named
+
+    console = Console(stderr=True)
+    if name not in DRILLS:
+        raise click.UsageError(f"no drill is called {name!r}; there are: {', '.join(DRILLS)}")
+    try:
+        if policy:
+            named(policy)
+        day = Day(seconds, nodes, fronts, 1 if draw is None else draw, draw is not None, policy, trouble,
+                  keep)
+        began = time.monotonic()
+        result = run(name, DRILLS[name], day, lambda text: console.print(text, style="dim", highlight=False))
+    except ValueError as err:
+        raise click.UsageError(str(err)) from None
+    except Failed as err:
+        click.echo(str(err), err=True)
+        sys.exit(1)
+    console.print(f"played and judged in {time.monotonic() - began:.0f} s", style="dim")
+    text = json.dumps(result.report, indent=1)
+    if out:
+        Path(out).write_text(text + "\n")
+    click.echo(text)
+    if result.broken:
+        first = result.broken[0]
+        click.echo(f"rule {first.rule} is broken: {first.why}")
+        for row in first.records[:SHOWN]:
+            click.echo("  " + json.dumps(row))
+    holds = all(claim["holds"] for claim in result.report["claims"].values())
+    sys.exit(0 if holds and not result.broken else 1)
--- /dev/null
+++ b/curlewhall/drills/breakers.py
@@ -0,0 +1,101 @@
+"""Classes that break one rule each on purpose, so that it can be seen that the judge catches it."""
+
+import time
+
+from curlewhall.policy import PASS, SECOND, Front
+
+
+class Stalls(Front):
+    """Rule 1: stands still past the time limits of what it holds, once in forty plays."""
+
+    def asked(self, now, play, *facts, **named):
+        said = super().asked(now, play, *facts, **named)
+        if len(self.takes) == 10:
+            time.sleep(4.5)  # a computation that never ends would look like this from outside
+        return said
+
+
+class Twice(Front):
+    """Rule 2: has two allocations out for every third play."""
+
+    def asked(self, now, play, *facts, **named):
+        said = list(super().asked(now, play, *facts, **named))
+        sent = [answer for answer in said if answer[0] == "allocate"]
+        others = [node for node in self.nodes if sent and node != sent[0][2]]
+        if others and self.chance(3) == 0:
+            said.append(("allocate", play, others[self.chance(len(others))], sent[0][3]))
+            self.plays[play].allocations.append(self.plays[play].allocations[0])
+        return said
+
+
+class Deaf(Front):
+    """Rule 3: takes every node for serving, and likes those best that the list says drain."""
+
+    leaving = frozenset()
+
+    def drawing(self, now, ply):
+        ply.nodes = [node for node in ply.nodes if node.id in self.leaving] or ply.nodes
+        return super().drawing(now, ply)
+
+    def listed(self, now, how, rows):
+        rows = list(rows)
+        self.leaving = (self.leaving | {row.node for row in rows if row.state == "draining"}) \
+            - {row.node for row in rows if row.state != "draining"}
+        return super().listed(now, how, [row._replace(state="serving") for row in rows])
+
+
+class Rush(Front):
+    """Rule 4: gathers plays while a node has started lately, then sends them all to it at once."""
+
+    def __init__(self, now, seed, rate_card):
+        super().__init__(now, seed, rate_card)
+        self.gathered, self.young = [], None
+        self.chain = [(self.gathering, None), *self.chain[:3], *self.chain[8:]]
+
+    def listed(self, now, how, rows):
+        rows = list(rows)
+        for row in rows:
+            if row.started > 0 and row.state == "serving":
+                self.young = row.node
+                self.out.append(("wake", SECOND * 12 // 5, -5))
+        return super().listed(now, how, rows)
+
+    def gathering(self, now, ply):
+        if self.young is None or ply.allocations:
+            return PASS
+        self.gathered.append(ply)
+        return "keep"
+
+    def drawing(self, now, ply):
+        ply.nodes = [self.nodes[self.young]] if self.young else ply.nodes[:1]
+        return PASS
+
+    def wake(self, now, label):
+        if label == -5:
+            gathered, self.gathered, young = self.gathered, [], self.young
+            for ply in [p for p in gathered if not p.answered]:
+                for ahead in (self.drawing, self.shaping, self.sending):
+                    ahead(now, ply)
+            self.young = None if young is not None else self.young
+            return self.said()
+        return super().wake(now, label)
+
+
+class Under(Front):
+    """Rule 5: every play on the lowest rung, whatever its product's floor."""
+
+    def asked(self, now, play, *facts, **named):
+        return [("rung", answer[1], 0) if answer[0] == "rung" else answer
+                for answer in super().asked(now, play, *facts, **named)]
+
+
+class Spender(Front):
+    """Rule 6: withdraws each first allocation of a harmless play and sends another."""
+
+    def rationed(self, now, ply):
+        return PASS
+
+    def asked(self, now, play, *facts, **named):
+        said = list(super().asked(now, play, *facts, **named))
+        pure = play in self.plays and self.plays[play].product["idempotency"] == "pure"
+        return [*said, ("withdraw", play, 0)] if pure and said and said[-1][0] == "allocate" else said
--- /dev/null
+++ b/curlewhall/drills/fleet.py
@@ -0,0 +1,239 @@
+"""Plans and processes of a drill: the stand-ins, the fronts, the viewers, each a process of its own.
+
+Every drill has addresses of its own in 127.0.0.0/8, drawn from its process id, so that several can run beside
+each other. All figures of the simulated fleet are this project's own.
+"""
+
+import json
+import os
+import random
+import secrets
+import subprocess
+import sys
+import time
+import urllib.request
+from pathlib import Path
+
+from google.protobuf import text_format
+
+from curlewhall.records import Writer
+from curlewhall.settings import front_pb2
+
+PORT = 8400
+RUNGS, WORTH = [200.0, 450.0, 900.0, 1800.0], [0.22, 0.5, 0.78, 1.0]
+LINK, STREAMS, RACK, UPLINK = 9000.0, 40, 5, 0.72  # kB a second, plays, nodes in a rack, part of their links
+PLACES = 7  # titles lie on three of them in a row
+LIFE = {"dear": (5, 12), "plain": (4, 10), "paid": (6, 14)}  # seconds: short, so that a short day turns over
+
+
+class Failed(Exception):
+    """A process of the drill did not start, or ended by itself."""
+
+
+def subnet() -> str:
+    """127.a.b: 250 times 250 of them, one to a process."""
+    pid = os.getpid()
+    return f"127.{2 + pid % 250}.{1 + pid // 250 % 250}"
+
+
+def make_plan(seed: int, nodes: int, fronts: int, seconds: float, folder: Path) -> dict:
+    """The plan of a fleet. The same seed gives the same fleet but for addresses and folder."""
+    rng = random.Random(f"fleet {seed}")
+    net, racks = subnet(), max(2, nodes // RACK)
+    zones = ["north", "south"] if nodes > 6 else ["north"]
+    specs = [{"node": f"n{i:03}", "address": f"{net}.{10 + i}", "port": PORT, "place": i % (racks * PLACES),
+              "zone": zones[i % len(zones)], "kind": "box", "weight": 1.0, "streams": STREAMS,
+              "link": LINK * rng.uniform(0.85, 1.15)} for i in range(nodes)]
+    sizes = [sum(spec["place"] % racks == r for spec in specs) for r in range(racks)]
+    uplinks = [max(1, size) * LINK * UPLINK * rng.uniform(0.85, 1.15) for size in sizes]
+    titles = [{"title": f"clip-{i:02}", "first_place": rng.randrange(PLACES), "places": 3,
+               "length_s": 600.0} for i in range(max(8, nodes))]
+    pairs = [(i, j) for i in range(fronts) for j in range(fronts) if i != j]
+    products = [
+        {"name": "dear", "importance": 2.0, "target_ms": 1000, "limit_ms": 3000, "share": 0.3, "floor": 0,
+         "scale": 1.2, "paid": False, "seats": 0},
+        {"name": "plain", "importance": 1.0, "target_ms": 1000, "limit_ms": 4000, "share": 0.5, "floor": 0,
+         "scale": 1.0, "paid": False, "seats": 0},
+        {"name": "paid", "importance": 3.0, "target_ms": 1000, "limit_ms": 3000, "share": 0.2, "floor": 1,
+         "scale": 1.1, "paid": True, "seats": 6}]
+    for product in products:
+        product["life"] = LIFE[product["name"]]
+    # middle-rate plays that links and uplinks carry, over a mean life: arrivals a second at load 1
+    carried = sum(min(sum(s["link"] for s in specs if s["place"] % racks == r), uplinks[r])
+                  for r in range(racks))
+    mean = sum(p["share"] * sum(p["life"]) / 2 * p["scale"] for p in products)
+    return {
+        "seed": seed, "seconds": seconds, "folder": str(folder), "rung_kb": RUNGS, "worth": WORTH,
+        "segment": 1.0, "byte_scale": 0.005, "vary": 0.15, "places": PLACES, "racks": racks, "zones": zones,
+        "nodes": specs, "uplinks": uplinks, "titles": titles, "products": products,
+        "customers": [{"name": "west", "share": 0.8}, {"name": "east", "share": 0.2}],
+        "setup_ms": [20, 90], "scales": {p["name"]: p["scale"] for p in products},
+        "reports": {"how": "inline", "fields": ["link_asked", "uplink_asked"], "period": 0.4, "noise": 0.06,
+                    "told_late": 0.7, "told_every": 2.0},
+        "rules": {"start_capacity": 0.4, "warm_within": 5.0, "overload_factor": 4.0, "fall": 1.0},
+        "grace": 1.0, "budget": [10.0, 3, 0.2],
+        "list_service": {"address": f"{net}.1", "port": PORT, "lag": [0.2, 1.0]},
+        "control": {"address": f"{net}.1", "port": PORT + 1}, "key_file": str(folder / "key"),
+        "fronts": [{"name": f"front-{i}", "address": f"{net}.{200 + i}", "port": PORT}
+                   for i in range(fronts)],
+        "relay": {"late": [0.002, 0.02],
+                  "legs": {f"{i}:{j}": [f"{net}.{200 + i}", PORT + 10 + j] for i, j in pairs},
+                  "fronts": {str(i): [f"{net}.{200 + i}", PORT + 1] for i in range(fronts)}},
+        "records": {who: str(folder / f"{who}.jsonl") for who in ("fleet", "crowd", "drill")},
+        "crowd": {"seed": seed, "rate": 0.7 * carried / RUNGS[1] / mean / 2, "seconds": seconds, "after": 4.5,
+                  "surges": [], "zipf": 0.8, "small_screens": 0.25, "hang_up": 0.02, "tries": 3,
+                  "returns": 0.9,
+                  "pause": [0.7, 2.5], "lean": [rng.uniform(0.5, 1.5) for _ in range(fronts)]},
+    }
+
+
+def settings(plan: dict, index: int) -> str:
+    """The operator's file of one front, as text."""
+    file = front_pb2.FrontFile()
+    front, rules, fleet = plan["fronts"][index], plan["rules"], file.fleet
+    file.identity.name, file.identity.index = front["name"], index
+    file.identity.fronts, file.identity.zone = len(plan["fronts"]), plan["zones"][index % len(plan["zones"])]
+    file.identity.seed = plan["seed"] * 1000 % 2**31 + index + 1
+    file.listen.address, file.listen.port = front["address"], front["port"]
+    file.listen.peer_address, file.listen.peer_port = plan["relay"]["fronts"][str(index)]
+    file.list_service.address = plan["list_service"]["address"]
+    file.list_service.port = plan["list_service"]["port"]
+    file.list_service.kept_file = str(Path(plan["folder"]) / f"{front['name']}.list")
+    for pair, (address, port) in plan["relay"]["legs"].items():
+        one, other = map(int, pair.split(":"))
+        if one == index:
+            file.peer.add(index=other, address=address, port=port)
+    for product in plan["products"]:
+        file.product.add(name=product["name"], importance=product["importance"], floor=product["floor"],
+                         first_frame_target_ms=product["target_ms"], time_limit_ms=product["limit_ms"],
+                         idempotency=int(product["paid"]), scale=product["scale"], seats=product["seats"])
+    total = plan["crowd"]["rate"]
+    for customer in plan["customers"]:
+        file.customer.add(name=customer["name"], allowance_per_s=round(1.5 * total * customer["share"], 2))
+    file.ladder.rung_kb.extend(plan["rung_kb"])
+    file.ladder.worth.extend(plan["worth"])
+    fleet.kind.add(name="box", streams=STREAMS)
+    fleet.zone.extend(plan["zones"])
+    fleet.places, fleet.racks = plan["racks"] * PLACES, plan["racks"]
+    fleet.uplink_kb, fleet.link_unit_kb = sum(plan["uplinks"]) / len(plan["uplinks"]), LINK
+    reports = plan["reports"]
+    file.reports.how = {"on_probe": 0, "inline": 1, "off": 2}[reports["how"]]
+    file.reports.told_late_ms = int(1000 * reports["told_late"])
+    file.reports.told_every_ms = int(1000 * reports["told_every"])
+    may = file.permissions
+    may.probes = may.peer_messages = may.retry_after = True
+    may.max_retry_after_ms, may.max_allocations = 1000, 3
+    file.rules.drain_grace_ms, file.rules.fall_ms = int(1000 * plan["grace"]), int(1000 * rules["fall"])
+    file.rules.overload_factor, file.rules.start_capacity = rules["overload_factor"], rules["start_capacity"]
+    file.rules.warm_within_ms = int(1000 * rules["warm_within"])
+    back, spare, share = plan["budget"]
+    file.rules.look_back_ms, file.rules.spare_allocations = int(1000 * back), spare
+    file.rules.extra_per_request = share
+    file.tokens.key_file, file.tokens.life_s = plan["key_file"], 600
+    file.limits.answer_margin_ms = 100
+    file.logs.form, file.logs.level = front_pb2.JSON, "info"
+    return text_format.MessageToString(file)
+
+
+class Processes:
+    """The processes of a plan, and what is done to them. Used as a context: all are ended at its end."""
+
+    def __init__(self, plan: dict, policy: str | None = None) -> None:
+        self.plan, self.policy, self.folder = plan, policy, Path(plan["folder"])
+        self.fronts: dict[str, subprocess.Popen] = {}
+        self.fleet = self.crowd = None
+        self.records = Writer(plan["records"]["drill"])
+        self.logs: list = []
+
+    def __enter__(self) -> "Processes":
+        key = self.folder / "key"
+        key.touch(mode=0o600)
+        key.write_bytes(secrets.token_bytes(32))
+        (self.folder / "plan.json").write_text(json.dumps(self.plan))
+        try:
+            self.fleet = self.spawn("fleet", ["curlewhall.standins.fleet", str(self.folder / "plan.json")])
+            self.await_line(self.fleet, "ready", "fleet")
+            for index, front in enumerate(self.plan["fronts"]):
+                (self.folder / f"{front['name']}.textproto").write_text(settings(self.plan, index))
+                self.start_front(front["name"])
+            for front in self.plan["fronts"]:
+                self.await_front(front["name"])
+        except BaseException:
+            self.end()
+            raise
+        return self
+
+    def __exit__(self, *exc) -> None:
+        self.end()
+
+    def spawn(self, name: str, args: list[str]) -> subprocess.Popen:
+        log = open(self.folder / f"{name}.log", "ab")  # noqa: SIM115 - closed in `end`
+        self.logs.append(log)
+        return subprocess.Popen([sys.executable, "-m", *args], stdout=log, stderr=log,
+                                stdin=subprocess.DEVNULL)
+
+    def await_line(self, process: subprocess.Popen, word: str, name: str, span: float = 30.0,
+                   since: int = 0) -> None:
+        """Wait until the process has written `word`; `Failed` when it ends first or takes too long."""
+        until = time.monotonic() + span
+        while time.monotonic() < until:
+            if word.encode() in (self.folder / f"{name}.log").read_bytes()[since:]:
+                return
+            if process.poll() is not None:
+                break
+            time.sleep(0.02)
+        text = (self.folder / f"{name}.log").read_text(errors="replace")[-2000:]
+        raise Failed(f"{name} did not get ready:\n{text}")
+
+    def start_front(self, name: str) -> None:
+        policy = ["--policy", self.policy] if self.policy else []
+        path = self.folder / f"{name}.log"
+        self.since = path.stat().st_size if path.exists() else 0
+        self.records.write("drill", "started", front=name)
+        self.fronts[name] = self.spawn(name, ["curlewhall", "serve", str(self.folder / f"{name}.textproto"),
+                                              *policy])
+
+    def await_front(self, name: str) -> None:
+        self.await_line(self.fronts[name], '"ready"', name)
+
+    def kill_front(self, name: str) -> None:
+        """kill -9."""
+        process = self.fronts[name]
+        if process.poll() is None:
+            process.kill()
+            process.wait()
+            self.records.write("drill", "killed", front=name)
+
+    def start_crowd(self) -> None:
+        self.crowd = self.spawn("crowd", ["curlewhall.standins.crowd", str(self.folder / "plan.json")])
+
+    def fault(self, target: str, kind: str, value: float) -> None:
+        """Ask the stand-ins for a fault."""
+        where = self.plan["control"]
+        body = json.dumps({"target": target, "kind": kind, "value": value}).encode()
+        request = urllib.request.Request(f"http://{where['address']}:{where['port']}/fault", body,
+                                         method="POST")
+        urllib.request.build_opener(urllib.request.ProxyHandler({})).open(request, timeout=10).close()
+
+    def check(self) -> None:
+        """`Failed` when a process that should run has ended by itself."""
+        for name, process in {"fleet": self.fleet, **self.fronts}.items():
+            code = process.poll()
+            if code not in (None, -9):
+                raise Failed(f"{name} ended with {code}:\n"
+                             + (self.folder / f"{name}.log").read_text(errors="replace")[-2000:])
+
+    def end(self) -> None:
+        """End what runs, gently first; the records are whole after that."""
+        running = [p for p in [self.crowd, *self.fronts.values(), self.fleet] if p is not None]
+        for process in running:
+            if process.poll() is None:
+                process.terminate()
+            try:
+                process.wait(8)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+        self.records.close()
+        for log in self.logs:
+            log.close()
--- /dev/null
+++ b/curlewhall/front/driver.py
@@ -0,0 +1,262 @@
+"""The driver of the module: one call for each thing that happens, in order; every answer carried out.
+
+A play is known here from its request until its last allocation has ended. What the module is told passes
+one queue (`hear`), so that a call that follows from carrying out an answer waits until that answer's list is
+done.
+"""
+
+import time
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+from curlewhall.interface import NodeRow
+from curlewhall.wire.forms import Facts, Title
+from curlewhall.wire.server import Exchange
+
+SECOND = 10_000
+PROVEN = ("full", "unreached", "not_sent")  # endings after which nothing can have run
+
+
+class Clock:
+    """Whole tenths of a millisecond that never go back, whatever the machine's clock does."""
+
+    def __init__(self, source: Callable[[], float] = time.monotonic) -> None:
+        self.source, self.last = source, 0
+
+    def now(self) -> int:
+        self.last = max(self.last, int(self.source() * SECOND))
+        return self.last
+
+
+class Held:
+    """A play: its request, its allocations by number, and what is in force."""
+
+    __slots__ = ("facts", "title", "exchange", "limit", "rung", "number", "offset", "node", "out", "playing",
+                 "answered", "closed", "stash", "guard", "taken", "seen")
+
+    def __init__(self, facts: Facts, title: Title, exchange: Exchange | None, limit: int, taken: int) -> None:
+        self.facts, self.title, self.exchange, self.limit, self.taken = facts, title, exchange, limit, taken
+        self.rung, self.number, self.offset, self.node = facts.rung, -1, 0, ""
+        self.out: dict[int, Any] = {}  # allocations that are out and don't play yet
+        self.playing: int | None = None
+        self.answered = self.closed = False
+        self.stash: list = []  # what the node told of an allocation before its set-up's answer was read
+        self.guard = None
+        self.seen = 0
+
+
+class Driver:
+    """Owns one instance of the module. `viewers`, `nodes` and `peers` are set before the first call."""
+
+    def __init__(self, make: Callable, seed: int, card: dict, timers, log,
+                 clock: Clock | None = None) -> None:
+        self.clock, self.timers, self.log, self.card = clock or Clock(), timers, log, card
+        self.inbox: deque = deque()
+        self.busy = False
+        self.plays: dict[str, Held] = {}
+        self.viewers = self.nodes = self.peers = None
+        self.counts = dict.fromkeys(("asked", "played", "declined", "failed", "left", "ended", "guarded",
+                                     "faults", "allocations", "resumed"), 0)
+        self.module = make(self.clock.now(), seed, card)
+        self.verbs = {"allocate": self.allocate, "rung": self.set_rung, "decline": self.decline,
+                      "fail": self.fail, "withdraw": self.withdraw, "move": self.move, "probe": self.probe,
+                      "tell": self.tell, "wake": self.wake, "log": self.say}
+
+    # ---- what happens
+
+    def hear(self, name: str, *facts, **named) -> None:
+        """Call the module's `name`; its answers are carried out before the next call is made."""
+        self.inbox.append((name, facts, named))
+        if self.busy:
+            return
+        self.busy = True
+        try:
+            while self.inbox:
+                name, facts, named = self.inbox.popleft()
+                try:
+                    answers = getattr(self.module, name)(self.clock.now(), *facts, **named)
+                except Exception:
+                    # Danger: one bad call must not cost the other plays; the guard answers for this one.
+                    self.counts["faults"] += 1
+                    self.log.exception("the module failed", call=name)
+                    continue
+                for answer in answers:
+                    self.verbs[answer[0]](*answer[1:])
+        finally:
+            self.busy = False
+
+    def listed(self, how: str, rows: list[NodeRow]) -> None:
+        self.hear("listed", how, rows)
+
+    def asked(self, held: Held, again: bool, moved: bool) -> None:
+        """A viewer's request was taken; from here on it gets exactly one answer."""
+        facts = held.facts
+        self.plays[facts.play] = held
+        self.counts["asked"] += 1
+        held.guard = self.timers.after(max(0, held.limit - self.clock.now()) / SECOND + 0.02, self.overdue,
+                                       held)
+        self.hear("asked", facts.play, facts.product, facts.customer, facts.viewer, facts.title, held.limit,
+                  held.title.first_place, held.title.places, facts.top, None, moved, again)
+
+    def resumed(self, facts: Facts, title: Title, node: str) -> None:
+        """A play of an earlier process of this front, found at its node."""
+        now = self.clock.now()
+        held = Held(facts, title, None, now, now)
+        held.answered, held.number, held.playing, held.offset, held.node = True, 0, 0, facts.number, node
+        self.plays[facts.play] = held
+        self.counts["resumed"] += 1
+        self.log.info("resumed", play=facts.play, node=node, rung=facts.rung)
+        self.hear("resumed", facts.play, facts.product, facts.customer, facts.viewer, facts.title,
+                  title.first_place, title.places, facts.top, None, node)
+        self.hear("note", facts.play, 0, node, "rung", float(facts.rung))
+
+    def set_up_ended(self, held: Held, number: int, node: str, how: str, took: float, report: dict) -> None:
+        """A set-up's exchange is over: `ok` with its first frame, or one of the other endings."""
+        held.out.pop(number, None)
+        span = int(took * SECOND)
+        if how != "ok" or held.closed:
+            if how == "ok":
+                how = "withdrawn"
+            if how not in PROVEN:
+                self.nodes.end(node, held.facts.play, number + held.offset, how)
+            self.log.info("allocation ended", play=held.facts.play, allocation=number, node=node, how=how)
+            self.hear("ended", held.facts.play, number, node, how, held.answered, span, report)
+            self.drop(held)
+            return
+        held.playing, held.node = number, node
+        self.log.info("first frame", play=held.facts.play, allocation=number, node=node, rung=held.rung,
+                      took_ms=span / 10)
+        self.hear("first_frame", held.facts.play, number, node, span)
+        for kind in ("link_asked", "uplink_asked"):
+            if kind in report:
+                self.hear("note", held.facts.play, number, node, kind, report[kind])
+        if not held.answered:
+            self.close(held, "played")
+            self.viewers.play(held, number + held.offset)
+        stash, held.stash = held.stash, []
+        for event in stash:
+            self.nodes.event(node, event)
+
+    def play_ended(self, play: str, how: str) -> None:
+        """A play under way is over at its node."""
+        held = self.plays.get(play)
+        if held is None or held.playing is None:
+            return
+        number, held.playing = held.playing, None
+        self.counts["ended"] += 1
+        self.log.info("play ended", play=play, allocation=number, node=held.node, how=how)
+        self.hear("ended", play, number, held.node, how, True, self.clock.now() - held.taken, {})
+        self.drop(held)
+
+    def noted(self, play: str, node: str, kind: str, value: float) -> None:
+        held = self.plays.get(play)
+        if held is not None and held.playing is not None:
+            self.hear("note", play, held.playing, node, kind, value)
+
+    def left(self, held: Held) -> None:
+        """The viewer hung up before its answer."""
+        if held.answered:
+            return
+        held.closed = True
+        self.close(held, "left")
+        self.log.info("left", play=held.facts.play)
+        self.hear("left", held.facts.play)
+        for ask in list(held.out.values()):
+            ask.withdraw()
+        self.drop(held)
+
+    def overdue(self, held: Held) -> None:
+        """Danger: a module that failed, or a machine too busy to call it in time, must not leave a viewer
+        without an answer. What can't be proved is failed; the module is told that the play is over."""
+        held.guard = None
+        if not held.answered:
+            held.closed = True
+            self.counts["guarded"] += 1
+            self.log.warning("answered by the guard", play=held.facts.play)
+            self.close(held, "failed")
+            self.viewers.fail(held, "The time limit is over")
+            self.hear("left", held.facts.play)
+            for ask in list(held.out.values()):
+                ask.withdraw()
+            self.drop(held)
+
+    # ---- what the module answers
+
+    def allocate(self, play: str, node: str, span: int) -> None:
+        held = self.plays.get(play)
+        if held is None:
+            self.log.error("an allocation for a play not held", play=play, node=node)
+            return
+        held.number += 1
+        number = held.number
+        self.counts["allocations"] += 1
+        self.log.info("allocate", play=play, allocation=number, node=node, rung=held.rung, span_ms=span / 10)
+        ask = self.nodes.set_up(held, number, node, span / SECOND)
+        if ask is None:  # told after this list of answers, as whatever comes of an allocation is
+            self.hear("ended", play, number, node, "not_sent", held.answered, 0, {})
+        else:
+            held.out[number] = ask
+
+    def set_rung(self, play: str, rung: int) -> None:
+        held = self.plays.get(play)
+        if held is not None:
+            held.rung = rung
+            if held.playing is not None:
+                self.nodes.set_rung(held.node, play, held.playing + held.offset, rung)
+
+    def decline(self, play: str, away: int) -> None:
+        held = self.plays.get(play)
+        if held is not None and not held.answered:
+            self.close(held, "declined")
+            self.log.info("declined", play=play, away_ms=away / 10)
+            self.viewers.decline(held, away)
+            self.drop(held)
+
+    def fail(self, play: str) -> None:
+        held = self.plays.get(play)
+        if held is not None and not held.answered:
+            self.close(held, "failed")
+            self.log.info("failed", play=play)
+            self.viewers.fail(held, "No node answered in time, or an answer was lost")
+            self.drop(held)
+
+    def withdraw(self, play: str, number: int) -> None:
+        held = self.plays.get(play)
+        ask = held and held.out.get(number)
+        if ask:
+            ask.withdraw()
+
+    def move(self, play: str) -> None:
+        held = self.plays.get(play)
+        if held is not None and held.playing is not None:
+            self.nodes.end(held.node, play, held.playing + held.offset, "moved")
+            self.viewers.moved(held)
+            self.play_ended(play, "withdrawn")
+
+    def probe(self, node: str) -> None:
+        self.nodes.probe(node)
+
+    def tell(self, peer: int | None, body: bytes) -> None:
+        self.peers.send(peer, body)
+
+    def wake(self, span: int, label: int) -> None:
+        self.timers.after(span / SECOND, self.hear, "wake", label)
+
+    def say(self, text: str) -> None:
+        self.log.info("module", text=text)
+
+    # ---- helpers
+
+    def close(self, held: Held, what: str) -> None:
+        """The play has its answer, or needs none any more."""
+        held.answered = True
+        self.counts[what] += 1
+        if held.guard is not None:
+            held.guard.cancel()
+            held.guard = None
+
+    def drop(self, held: Held) -> None:
+        if held.answered and not held.out and held.playing is None:
+            self.plays.pop(held.facts.play, None)
+            held.exchange = None
--- /dev/null
+++ b/curlewhall/front/listing.py
@@ -0,0 +1,114 @@
+"""Follows the list service: whole lists, changes, gaps and failures; keeps the last whole list on disk."""
+
+import os
+import time
+from pathlib import Path
+
+from curlewhall.wire import forms
+from curlewhall.wire.client import Pool, Reply
+from curlewhall.wire.http import request_bytes
+
+from .driver import Driver
+from .nodes import module_row
+
+SILENT = 5.0  # seconds without a line, ticks included, after which a stream is taken for dead
+PAUSES = (0.2, 0.5, 1.0, 2.0)
+STATES = ("serving", "draining", "gone")
+
+
+class Follower:
+    """One subscription, asked for again with growing pauses while it can't be had."""
+
+    def __init__(self, driver: Driver, pool: Pool, front: str, kept: str = "") -> None:
+        self.driver, self.pool, self.front, self.kept = driver, pool, front, kept
+        self.rows: dict[str, forms.Row] = {}
+        self.titles: dict[str, forms.Title] = {}
+        self.version, self.tries = 0, 0
+        self.lines, self.stream, self.silence, self.failing = forms.Lines(), None, None, False
+
+    def start(self) -> None:
+        """Believe the kept list, if there is one, until the service says more; then subscribe."""
+        if self.kept and os.path.exists(self.kept):
+            try:
+                old = forms.decode(forms.Listing, Path(self.kept).read_bytes())
+                self.take(old, "old_copy")
+                self.driver.log.info("kept list read", nodes=len(old.rows), version=old.version)
+            except (OSError, forms.Malformed) as err:
+                self.driver.log.warning("the kept list can't be read", why=str(err))
+        self.version = 0  # what was kept may be of another life of the service: ask for all
+        self.subscribe()
+
+    def subscribe(self) -> None:
+        self.lines = forms.Lines()
+        target = f"/v1/list?front={self.front}&have={self.version}"
+        self.stream = self.pool.ask(request_bytes("GET", target, self.pool.host), 86_400.0, self.ended,
+                                    tell=self.told)
+        self.listen()
+
+    def listen(self) -> None:
+        if self.silence is not None:
+            self.silence.cancel()
+        self.silence = self.driver.timers.after(SILENT, self.stream.withdraw)
+
+    def told(self, message, piece: bytes) -> None:
+        if message.status != 200:
+            return
+        self.listen()
+        try:
+            for line in self.lines.feed(piece):
+                self.line(forms.decode(forms.Listing, line))
+        except forms.Malformed as err:
+            self.driver.log.warning("the list is malformed", why=str(err))
+            self.driver.timers.after(0, self.stream.withdraw)
+
+    def line(self, listing: forms.Listing) -> None:
+        self.tries, self.failing = 0, False
+        if listing.how == "whole":
+            self.take(listing, "whole")
+        elif listing.how == "changes" and listing.since == self.version and self.version:
+            self.take(listing, "changes")
+        elif listing.how == "changes" and listing.version > self.version:
+            # Danger: a change built on one never seen. A gap is closed by the whole list.
+            self.driver.log.warning("a gap in the list", have=self.version, since=listing.since)
+            self.version = 0
+            self.driver.timers.after(0, self.stream.withdraw)
+
+    def take(self, listing: forms.Listing, how: str) -> None:
+        rows = [row for row in listing.rows if row.state in STATES]
+        if how != "changes":
+            self.rows, self.titles = {}, {}
+        self.rows |= {row.node: row for row in rows}
+        self.titles |= {title.title: title for title in listing.titles}
+        self.version = listing.version
+        self.driver.viewers.titles = self.titles
+        now, unix = self.driver.clock.now(), int(time.time() * 1000)
+        self.driver.nodes.listed(rows, whole=how != "changes")  # first: the module may allocate at once
+        self.driver.listed(how, [module_row(row, now, unix) for row in rows])
+        self.driver.log.info("list", how=how, version=listing.version, rows=len(rows))
+        if how != "old_copy":
+            self.keep()
+
+    def keep(self) -> None:
+        """Write what is known beside the old file and put it in its place: never half a list on disk."""
+        if not self.kept:
+            return
+        rows = [row for row in self.rows.values() if row.state != "gone"]
+        whole = forms.Listing("whole", self.version, 0, rows, list(self.titles.values()))
+        try:
+            Path(self.kept + ".new").write_bytes(forms.encode(whole))
+            os.replace(self.kept + ".new", self.kept)
+        except OSError as err:
+            self.driver.log.warning("the list can't be kept", why=str(err))
+
+    def ended(self, reply: Reply) -> None:
+        if self.silence is not None:
+            self.silence.cancel()
+        if self.pool.closed:
+            return
+        if not self.failing:
+            self.failing = True
+            self.driver.listed("failed", [])
+            self.driver.log.warning("the list service is out of reach", how=reply.ending)
+        pause = PAUSES[min(self.tries, len(PAUSES) - 1)]
+        self.tries += 1
+        self.driver.timers.after(pause, self.subscribe)
--- /dev/null
+++ b/curlewhall/front/nodes.py
@@ -0,0 +1,236 @@
+"""Nodes' side: set-ups, changes of rung, ends and probes go out; a stream of events from each node comes in.
+
+A node's stream (`GET /v1/events`) starts with a hello that names the plays which the node holds for this
+front. What a hello shows is believed over what this front thought: plays that are gone have broken off, and
+those that a front just started does not know are resumed.
+"""
+
+import time
+
+from curlewhall.interface import NodeRow
+from curlewhall.wire import forms
+from curlewhall.wire.client import Ask, Pool, Reply
+from curlewhall.wire.http import request_bytes
+
+from .driver import Driver, Held
+
+FOREVER = 86_400.0
+END_LIMIT = 1.0  # for what is said to a node without waiting for it
+PAUSES = (0.1, 0.3, 1.0, 2.0)  # before a broken stream is asked for again
+NOTES = ("delivered", "link_asked", "uplink_asked")
+
+
+class Node:
+    """One listed node: where it is, its pool, its stream."""
+
+    def __init__(self, row: forms.Row, pool: Pool) -> None:
+        self.row, self.pool = row, pool
+        self.stream: Ask | None = None
+        self.lines = forms.Lines()
+        self.tries, self.greeted, self.pause = 0, False, None
+
+
+class Nodes:
+    """All listed nodes, by name."""
+
+    def __init__(self, driver: Driver, loop, timers, front: str, connect: float, probe_limit: float) -> None:
+        self.driver, self.loop, self.timers, self.front = driver, loop, timers, front
+        self.connect, self.probe_limit = connect, probe_limit
+        self.nodes: dict[str, Node] = {}
+        self.started = time.monotonic()
+
+    # ---- the list
+
+    def listed(self, rows: list[forms.Row], whole: bool) -> None:
+        """Follow the list: pools for what is new, none for what is gone, fresh ones for what started anew."""
+        for row in rows:
+            node = self.nodes.get(row.node)
+            if node and (node.row.address, node.row.port) != (row.address, row.port):
+                self.forget(node)
+                node = None
+            if node is None:
+                if row.state == "gone":
+                    continue
+                node = Node(row, Pool(self.loop, self.timers, row.address, row.port, connect=self.connect))
+                self.nodes[row.node] = node
+            elif row.started_ms > node.row.started_ms or row.state == "gone":
+                # Danger: a connection of the process before is dead, or leads to who knows whom.
+                node.pool.drop_idle()
+            node.row = row
+            self.follow(node)
+        if whole:
+            named = {row.node for row in rows}
+            for node in [n for n in self.nodes.values() if n.row.node not in named]:
+                node.row = forms.msgspec.structs.replace(node.row, state="gone")
+                node.pool.drop_idle()
+
+    def forget(self, node: Node) -> None:
+        del self.nodes[node.row.node]
+        if node.pause is not None:
+            node.pause.cancel()
+        node.pool.close()
+        self.lost(node.row.node)
+
+    def address(self, name: str) -> str:
+        return self.nodes[name].pool.host
+
+    # ---- what is asked of a node
+
+    def set_up(self, held: Held, number: int, name: str, span: float) -> Ask | None:
+        """Ask a node to set a play up; None where it is not listed or the play is closed."""
+        node = self.nodes.get(name)
+        if node is None or held.answered:
+            return None
+        facts = forms.msgspec.structs.replace(held.facts, number=number + held.offset, rung=held.rung)
+        body = forms.encode(forms.SetUp(self.front, facts, span * 1000))
+        data = request_bytes("POST", "/v1/plays", node.pool.host, body, content_type="application/json")
+        # Danger: a connection may take its time; a drain told meanwhile, or a viewer gone, stops the set-up.
+        was = node.row.state
+        return node.pool.ask(data, max(0.0, span), lambda reply: self.set_up_done(held, number, name, reply),
+                             may=lambda: node.row.state == was and not held.closed)
+
+    def set_up_done(self, held: Held, number: int, name: str, reply: Reply) -> None:
+        how, report = reply.ending, {}
+        if how == "ok":
+            try:
+                done = forms.decode(forms.SetUpDone, reply.message.body)
+                same = done.node == name and (done.play, done.number) == (held.facts.play, number
+                                                                          + held.offset)
+                if reply.message.status == 201 and same:
+                    report = done.report
+                elif reply.message.status == 503 and done.node == name and done.why in ("full", "draining"):
+                    how, report = "full", done.report
+                else:
+                    how = "error"
+            except forms.Malformed:
+                how = "error"
+        self.driver.set_up_ended(held, number, name, how, reply.took, report)
+
+    def set_rung(self, name: str, play: str, number: int, rung: int) -> None:
+        body = forms.encode(forms.Rung(number, rung))
+        self.say(name, "PUT", f"/v1/plays/{play}/rung", body)
+
+    def end(self, name: str, play: str, number: int, why: str) -> None:
+        """End what may run there; nothing is waited for."""
+        self.say(name, "DELETE", f"/v1/plays/{play}?number={number}&why={why}", b"")
+
+    def say(self, name: str, method: str, target: str, body: bytes) -> None:
+        node = self.nodes.get(name)
+        if node is not None:
+            data = request_bytes(method, target, node.pool.host, body, content_type="application/json")
+            node.pool.ask(data, END_LIMIT, lambda reply: None)
+
+    def probe(self, name: str) -> None:
+        node = self.nodes.get(name)
+        if node is None:
+            self.driver.hear("probed", name, "not_sent", 0, {})
+            return
+        data = request_bytes("GET", "/v1/load", node.pool.host)
+        node.pool.ask(data, self.probe_limit, lambda reply: self.probed(name, reply))
+
+    def probed(self, name: str, reply: Reply) -> None:
+        how, report = reply.ending, {}
+        if how == "ok":
+            try:
+                load = forms.decode(forms.Load, reply.message.body)
+                sound = reply.message.status == 200 and load.node == name
+                how, report = ("ok", load.report) if sound else ("error", {})
+            except forms.Malformed:
+                how = "error"
+        self.driver.hear("probed", name, how, int(reply.took * 10_000), report)
+
+    # ---- what a node tells
+
+    def follow(self, node: Node) -> None:
+        """Ask for the node's stream unless it is open or about to be."""
+        node.pause = None
+        if node.stream is None and node.row.state != "gone" and self.nodes.get(node.row.node) is node:
+            node.lines = forms.Lines()
+            data = request_bytes("GET", f"/v1/events?front={self.front}", node.pool.host)
+            node.stream = node.pool.ask(data, FOREVER, lambda reply: self.stream_ended(node, reply),
+                                        tell=lambda message, piece: self.told(node, message, piece))
+
+    def told(self, node: Node, message, piece: bytes) -> None:
+        if message.status != 200:
+            return
+        try:
+            for line in node.lines.feed(piece):
+                self.event(node.row.node, forms.decode(forms.Event, line))
+        except forms.Malformed as err:
+            self.driver.log.warning("a node's stream is malformed", node=node.row.node, why=str(err))
+            self.loop.call_soon(node.stream.withdraw)
+
+    def stream_ended(self, node: Node, reply: Reply) -> None:
+        node.stream = None
+        if node.pool.closed:
+            return
+        if reply.ending == "unreached":
+            # Refused: the process is gone and its plays with it.
+            self.lost(node.row.node)
+        pause = PAUSES[min(node.tries, len(PAUSES) - 1)]
+        node.tries += 1
+        if node.pause is not None:
+            node.pause.cancel()
+        node.pause = self.timers.after(pause, self.follow, node)
+
+    def lost(self, name: str) -> None:
+        for play in [p for p, held in self.driver.plays.items() if held.node == name
+                     and held.playing is not None]:
+            self.driver.play_ended(play, "broken")
+
+    def event(self, name: str, event: forms.Event) -> None:
+        if event.kind == "hello":
+            self.hello(name, event)
+            return
+        held = self.driver.plays.get(event.play)
+        if held is None or event.kind == "tick":
+            return
+        if any(number + held.offset == event.number for number in held.out):
+            if len(held.stash) < 16:  # its set-up's answer is on another connection and not read yet
+                held.stash.append(event)
+        elif held.playing is None or held.node != name or held.playing + held.offset != event.number:
+            return
+        elif event.kind == "ended":
+            self.driver.play_ended(event.play, event.how if event.how in ("ok", "broken") else "withdrawn")
+        elif event.kind in NOTES:
+            self.driver.noted(event.play, name, event.kind, event.value)
+
+    def hello(self, name: str, event: forms.Event) -> None:
+        node = self.nodes.get(name)
+        if node is None or event.node != name:
+            self.driver.log.warning("a stranger answers at a node's address", node=name, found=event.node)
+            return
+        there = {facts.play: facts for facts in event.plays}
+        node.tries = 0
+        for play, held in list(self.driver.plays.items()):
+            if held.node == name and held.playing is not None and play not in there:
+                self.driver.play_ended(play, "broken")
+        for play, facts in there.items():
+            if play not in self.driver.plays:
+                title = self.driver.viewers.titles.get(facts.title)
+                if node.greeted or title is None or facts.product not in self.driver.viewers.products:
+                    self.end(name, play, facts.number, "unknown")
+                else:
+                    self.driver.resumed(facts, title, name)
+        node.greeted = True
+
+    def state(self) -> list[dict]:
+        held: dict[str, int] = {}
+        for ply in self.driver.plays.values():
+            if ply.playing is not None:
+                held[ply.node] = held.get(ply.node, 0) + 1
+        return [{"node": name, "state": node.row.state, "zone": node.row.zone, "place": node.row.place,
+                 "plays": held.get(name, 0), "stream": node.greeted and node.stream is not None}
+                for name, node in sorted(self.nodes.items())]
+
+    def close(self) -> None:
+        for node in self.nodes.values():
+            node.pool.close()
+
+
+def module_row(row: forms.Row, now: int, unix_ms: int) -> NodeRow:
+    """The list's line on the module's clock; a start in the future is taken for now."""
+    started = 0
+    if row.started_ms:
+        started = max(1, now - 10 * max(0, unix_ms - row.started_ms))
+    return NodeRow(row.node, row.place, row.zone, row.kind, row.state, row.weight, started)
--- /dev/null
+++ b/curlewhall/front/viewers.py
@@ -0,0 +1,128 @@
+"""Viewers' side: a GET for a title becomes a play; its one answer is a manifest or a problem document."""
+
+import time
+from collections import OrderedDict
+from urllib.parse import parse_qsl, unquote, urlsplit
+
+import msgspec
+
+from curlewhall.dash import manifest, tokens
+from curlewhall.wire.forms import Facts, Title
+from curlewhall.wire.server import Exchange
+
+from . import problems
+from .driver import Driver, Held
+
+SEGMENT = 1.0  # seconds; short segments let a changed rung be seen soon
+MOVED = 10_000  # plays moved lately whose viewers have yet to come again
+
+
+class Wrong(Exception):
+    """A request that can't be taken; the text is for its sender."""
+
+
+class Viewers:
+    """Answers requests. `titles` is kept up by the list's follower."""
+
+    def __init__(self, driver: Driver, front: str, key: bytes, life: float, margin: int, boot: int) -> None:
+        self.driver, self.front, self.key, self.life, self.margin = driver, front, key, life, margin
+        self.boot, self.count = boot, 0
+        self.titles: dict[str, Title] = {}
+        self.products = {p["name"]: (i, p) for i, p in enumerate(driver.card["products"])}
+        self.away: OrderedDict[str, str] = OrderedDict()  # play moved -> its viewer
+        self.open = True
+
+    def handle(self, exchange: Exchange) -> None:
+        url = urlsplit(exchange.request.target)
+        if exchange.request.method != "GET":
+            problems.answer(exchange, 405, f"not {exchange.request.method}")
+        elif url.path.startswith("/play/"):
+            try:
+                self.take(exchange, unquote(url.path[6:]), url.query)
+            except Wrong as err:
+                problems.answer(exchange, 400, str(err))
+        elif url.path == "/v1/state":
+            exchange.reply(200, {"content-type": "application/json"}, msgspec.json.encode(self.state()))
+        else:
+            problems.answer(exchange, 404, "viewers ask for /play/TITLE")
+
+    def take(self, exchange: Exchange, name: str, query: str) -> None:
+        given = dict(parse_qsl(query, keep_blank_values=True, max_num_fields=16))
+        title = self.titles.get(name)
+        if title is None:
+            problems.answer(exchange, 404, f"title {name!r} is not in the list")
+            return
+        product = given.get("product", "")
+        if product not in self.products:
+            raise Wrong(f"product: found {product!r}, expected one of {', '.join(self.products)}")
+        index, terms = self.products[product]
+        viewer = given.get("viewer", "")
+        if not 1 <= len(viewer) <= 128:
+            raise Wrong("viewer: expected 1 to 128 characters")
+        card = self.driver.card
+        top = number(given, "top", len(card["specifics.rung_kb"]) - 1, 0, 1000)
+        limit = 10 * number(given, "limit_ms", terms["time_limit"] // 10, 1, terms["time_limit"] // 10)
+        moved = given.get("moved", "")
+        if moved and self.away.pop(moved, None) != viewer:
+            moved = ""
+        if not self.open:
+            problems.answer(exchange, 503, "This front is leaving", away=10_000)
+            return
+        self.count += 1
+        now = self.driver.clock.now()
+        floor = card["specifics.floor_by_class"][index]
+        # The play's top can't lie under its product's floor: such a viewer can't be served within the terms.
+        if top < floor:
+            raise Wrong(f"top: found {top}, expected {floor} at least for {product}")
+        facts = Facts(play=f"{self.front}-{self.boot:x}-{self.count:x}", number=0, product=product,
+                      customer=given.get("customer", ""), viewer=viewer, title=name, top=top, rung=floor,
+                      floor=floor)
+        # The answer has a way to go, and what is sent at the limit comes after it.
+        held = Held(facts, title, exchange, now + max(0, limit - self.margin), now)
+        exchange.gone = lambda: self.driver.left(held)
+        self.driver.asked(held, again=given.get("again", "0") == "1" or bool(moved), moved=bool(moved))
+
+    def play(self, held: Held, number: int) -> None:
+        """The manifest: the play's node, its token, the rungs that it may use."""
+        card, facts = self.driver.card, held.facts
+        address = self.driver.nodes.address(held.node)
+        index = self.products[facts.product][0]
+        scale, ladder = card["specifics.class_scale"][index], card["specifics.rung_kb"]
+        top = max(facts.floor, min(facts.top, card["specifics.highest_rung"][index], len(ladder) - 1))
+        session = tokens.Session(facts.play, number, held.node, self.front, facts.title, facts.product)
+        token = tokens.sign(session, self.key, time.time(), self.life)
+        plan = manifest.Plan(f"http://{address}/s/{facts.play}/{number}/", token,
+                             [(rung, int(ladder[rung] * scale * 8000))
+                              for rung in range(facts.floor, top + 1)],
+                             SEGMENT, held.title.length_s)
+        held.exchange.reply(200, {"content-type": "application/dash+xml", "cache-control": "no-store",
+                                  "curlewhall-play": facts.play}, manifest.write(plan))
+        held.exchange = None
+
+    def decline(self, held: Held, away: int) -> None:
+        problems.answer(held.exchange, 503, "No holder of the title has room", away, play=held.facts.play)
+
+    def fail(self, held: Held, why: str) -> None:
+        problems.answer(held.exchange, 502, why, play=held.facts.play)
+
+    def moved(self, held: Held) -> None:
+        self.away[held.facts.play] = held.facts.viewer
+        while len(self.away) > MOVED:
+            self.away.popitem(last=False)
+
+    def state(self) -> dict:
+        driver = self.driver
+        return {"front": self.front, "counts": driver.counts, "titles": len(self.titles),
+                "held": sum(held.playing is not None for held in driver.plays.values()),
+                "setting_up": sum(bool(held.out) for held in driver.plays.values()),
+                "nodes": driver.nodes.state()}
+
+
+def number(given: dict[str, str], name: str, plain: int, low: int, high: int) -> int:
+    """A whole number of a request; `high` caps it, since a limit may be longer than a front can wait."""
+    text = given.get(name)
+    if text is None:
+        return plain
+    if not (text.isascii() and text.isdigit() and len(text) < 12) or int(text) < low:
+        raise Wrong(f"{name}: found {text[:20]!r}, expected a whole number, {low} at least")
+    return min(int(text), high)
--- /dev/null
+++ b/curlewhall/settings/card.py
@@ -0,0 +1,48 @@
+"""The rate card: what the module is told at start, as a flat map, made of the operator's file.
+
+Times become whole tenths of a millisecond; names are those that `curlewhall.policy` reads.
+"""
+
+from typing import Any
+
+from . import front_pb2
+
+IDEMPOTENCY = {front_pb2.PURE: "pure", front_pb2.SIDE_EFFECT: "side_effect"}
+HOW = {front_pb2.ON_PROBE: "on_probe", front_pb2.INLINE: "inline", front_pb2.OFF: "off"}
+
+
+def rate_card(file: front_pb2.FrontFile) -> dict[str, Any]:
+    """The map for `Front(now, seed, rate_card)`; `file` has been checked."""
+    top = len(file.ladder.rung_kb) - 1
+    may, rules, fleet = file.permissions, file.rules, file.fleet
+    card = {
+        "products": [{"name": p.name, "importance": p.importance, "idempotency": IDEMPOTENCY[p.idempotency],
+                      "first_frame_target": 10 * p.first_frame_target_ms, "time_limit": 10 * p.time_limit_ms}
+                     for p in file.product],
+        "customers": [{"name": c.name, "allowance_per_s": c.allowance_per_s} for c in file.customer],
+        "fronts": file.identity.fronts, "own_index": file.identity.index, "zone": file.identity.zone,
+        "zones": list(fleet.zone), "kinds": [kind.name for kind in fleet.kind],
+        "report.how": HOW[file.reports.how],
+        "specifics.rung_kb": list(file.ladder.rung_kb), "specifics.level_worth": list(file.ladder.worth),
+        "specifics.switch_cost_s": file.ladder.switch_cost_s, "specifics.stall": file.ladder.stall,
+        "specifics.class_scale": [p.scale if p.HasField("scale") else 1.0 for p in file.product],
+        "specifics.floor_by_class": [p.floor for p in file.product],
+        "specifics.highest_rung": [p.top if p.HasField("top") else top for p in file.product],
+        "specifics.seats": [p.seats for p in file.product],
+        "specifics.kind_streams": [kind.streams for kind in fleet.kind],
+        "specifics.places": fleet.places, "specifics.shelves": fleet.racks,
+        "specifics.uplink_kb": fleet.uplink_kb, "specifics.link_unit_kb": fleet.link_unit_kb,
+        "specifics.told_late": 10 * file.reports.told_late_ms,
+        "specifics.told_every": 10 * file.reports.told_every_ms,
+        "permissions.probes": may.probes, "permissions.peer_messages": may.peer_messages,
+        "permissions.retry_after": may.retry_after, "permissions.max_allocations": may.max_allocations,
+        "permissions.max_retry_after": 10 * may.max_retry_after_ms,
+        "rules.drain_grace": 10 * rules.drain_grace_ms, "rules.fall": 10 * rules.fall_ms,
+        "rules.overload_factor": rules.overload_factor, "rules.start_capacity": rules.start_capacity,
+        "rules.warm_within": 10 * rules.warm_within_ms,
+    }
+    if rules.HasField("look_back_ms"):
+        card |= {"rules.look_back": 10 * rules.look_back_ms,
+                 "rules.spare_allocations": rules.spare_allocations,
+                 "rules.extra_per_request": rules.extra_per_request}
+    return card
--- /dev/null
+++ b/curlewhall/standins/fleet.py
@@ -0,0 +1,115 @@
+"""All nodes and the list service in one process, on the addresses of a plan; faults over a control socket.
+
+    python -m curlewhall.standins.fleet PLAN.json
+
+The plan is written by `curlewhall.drills.fleet`. POST /fault with {"target": NODE or "list", "peers"
+                                                                    or "rack:N",
+"kind": ..., "value": ...} on the control address asks for a fault.
+"""
+
+import asyncio
+import json
+import resource
+import signal
+import sys
+import time
+from pathlib import Path
+
+import msgspec
+import uvloop
+
+from curlewhall.dash.tokens import read_key
+from curlewhall.records import Writer
+from curlewhall.wire import forms
+from curlewhall.wire.server import Exchange, Server, listen
+from curlewhall.wire.timers import Timers
+
+from .listservice import ListService
+from .model import Rack
+from .node import Node
+from .relay import Relay
+
+
+class Fleet:
+    """The stand-ins of one plan."""
+
+    def __init__(self, plan: dict) -> None:
+        self.plan, self.loop = plan, asyncio.get_running_loop()
+        self.timers, self.records = Timers(self.loop), Writer(plan["records"]["fleet"])
+        key = read_key(plan["key_file"])
+        self.racks = [Rack(uplink) for uplink in plan["uplinks"]]
+        self.nodes = {spec["node"]: Node(self.loop, self.timers, plan, spec,
+                                         self.racks[spec["place"] % len(self.racks)], key, self.records)
+                      for spec in plan["nodes"]}
+        titles = [forms.Title(**title) for title in plan["titles"]]
+        self.list = ListService(self.loop, self.timers, plan, [self.row(n) for n in self.nodes.values()],
+                                titles,
+                                self.records)
+
+        self.relay = Relay(self.loop, self.timers, plan["relay"], self.records)
+
+    def row(self, node: Node, state: str = "serving", started: bool = False) -> forms.Row:
+        spec = node.spec
+        return forms.Row(spec["node"], spec["address"], spec["port"], spec["place"], spec["zone"],
+                         spec["kind"],
+                         state, spec["weight"], int(time.time() * 1000) if started else 0)
+
+    async def start(self) -> None:
+        await self.relay.start()
+        for node in self.nodes.values():
+            node.fell = self.fell
+            node.start(warm=True)
+        self.list.start()
+        where = self.plan["control"]
+        Server(self.loop, self.timers, listen(where["address"], where["port"]), self.control)
+
+    def fell(self, node: Node) -> None:
+        self.list.change(self.row(node, "gone"))
+
+    def control(self, exchange: Exchange) -> None:
+        try:
+            asked = msgspec.json.decode(exchange.request.body)
+            self.fault(asked["target"], asked["kind"], float(asked["value"]))
+        except (msgspec.DecodeError, KeyError, TypeError, ValueError) as err:
+            exchange.reply(400, {}, f"{type(err).__name__}: {err}\n".encode())
+            return
+        exchange.reply(204)
+
+    def fault(self, target: str, kind: str, value: float) -> None:
+        if target == "list":
+            self.list.fault(kind, value)
+            return
+        if target == "peers":
+            self.relay.fault(kind, value)
+            return
+        if target.startswith("rack:"):
+            rack = self.racks[int(target[5:])]
+            rack.sag = value or 1.0
+            self.records.write(target, "fault", kind=kind, value=value)
+            return
+        node = self.nodes[target]
+        was = node.server is not None
+        node.fault(kind, value)
+        if kind == "die" and was:
+            self.list.change(self.row(node, "gone"))
+        elif kind == "start" and not was:
+            self.list.change(self.row(node, started=True))
+        elif kind == "drain":
+            self.list.change(self.row(node, "draining" if value else "serving"))
+
+
+async def main(plan: dict) -> None:
+    fleet = Fleet(plan)
+    told = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        fleet.loop.add_signal_handler(number, told.set)
+    await fleet.start()
+    print("ready", flush=True)
+    await told.wait()
+    fleet.records.close()
+
+
+if __name__ == "__main__":
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+    uvloop.run(main(json.loads(Path(sys.argv[1]).read_text())))
--- /dev/null
+++ b/curlewhall/standins/listservice.py
@@ -0,0 +1,90 @@
+"""The list of nodes as a service: a stream of versions that lags behind, to every front that asks for it."""
+
+from urllib.parse import parse_qsl, urlsplit
+
+from curlewhall.records import Writer
+from curlewhall.wire import forms
+from curlewhall.wire.server import Exchange, Server, listen
+
+from .model import unit
+
+KEPT = 64  # versions that a front may be behind and still get changes alone
+
+
+class ListService:
+    """Knows of changes `lag` after they happen; `stale` more while it is told to lag further."""
+
+    def __init__(self, loop, timers, plan: dict, rows: list[forms.Row], titles: list[forms.Title],
+                 records: Writer) -> None:
+        self.loop, self.timers, self.plan, self.records = loop, timers, plan, records
+        self.rows, self.titles = {row.node: row for row in rows}, titles
+        self.version, self.changes = 1, []  # (version, row), the latest KEPT
+        self.streams: dict[str, Exchange] = {}
+        self.stale, self.count, self.order = 0.0, 0, 0.0
+        self.server: Server | None = None
+
+    def start(self) -> None:
+        where = self.plan["list_service"]
+        self.server = Server(self.loop, self.timers, listen(where["address"], where["port"]), self.handle)
+        self.tick()
+
+    def fault(self, kind: str, value: float) -> None:
+        """`down` takes the service out of reach, `stale` makes it lag by so many seconds more."""
+        self.records.write("list", "fault", kind=kind, value=value)
+        if kind == "stale":
+            self.stale = value
+        elif kind == "down" and value and self.server is not None:
+            server, self.server = self.server, None
+            self.streams.clear()
+            server.close()
+        elif kind == "down" and not value and self.server is None:
+            where = self.plan["list_service"]
+            self.server = Server(self.loop, self.timers, listen(where["address"], where["port"]), self.handle)
+
+    def change(self, row: forms.Row) -> None:
+        """Something happened to a node; the service hears of it later, in the order of happening."""
+        self.count += 1
+        low, high = self.plan["list_service"]["lag"]
+        due = self.loop.time() + self.stale + low + (high - low) * unit("lag", self.count)
+        self.order = max(self.order, due)
+        self.timers.after(self.order - self.loop.time(), self.learn, row)
+
+    def learn(self, row: forms.Row) -> None:
+        if row.state == "gone":
+            self.rows.pop(row.node, None)
+        else:
+            self.rows[row.node] = row
+        since, self.version = self.version, self.version + 1
+        self.changes = [*self.changes, (self.version, row)][-KEPT:]
+        for front in list(self.streams):
+            self.send(front, forms.Listing("changes", self.version, since, [row]))
+
+    def handle(self, exchange: Exchange) -> None:
+        url = urlsplit(exchange.request.target)
+        query = dict(parse_qsl(url.query))
+        front, have = query.get("front", ""), query.get("have", "0")
+        if url.path != "/v1/list" or not front or not have.isdigit():
+            exchange.reply(404)
+            return
+        old = self.streams.pop(front, None)
+        if old is not None:
+            old.finish()
+        self.streams[front] = exchange
+        exchange.gone = lambda: self.streams.get(front) is exchange and self.streams.pop(front)
+        exchange.start(200, {"content-type": "application/jsonl"})
+        missed = [(version, row) for version, row in self.changes if version > int(have)]
+        if int(have) and len(missed) == self.version - int(have):
+            for version, row in missed:
+                self.send(front, forms.Listing("changes", version, version - 1, [row]))
+        else:
+            self.send(front, forms.Listing("whole", self.version, 0, list(self.rows.values()), self.titles))
+
+    def send(self, front: str, listing: forms.Listing) -> None:
+        self.records.write("list", "told", front=front, how=listing.how, version=listing.version,
+                           rows=[[row.node, row.state, row.started_ms] for row in listing.rows])
+        self.streams[front].write(forms.encode(listing) + b"\n")
+
+    def tick(self) -> None:
+        for stream in self.streams.values():
+            stream.write(forms.encode(forms.Listing("tick", self.version)) + b"\n")
+        self.timers.after(1.0, self.tick)
--- /dev/null
+++ b/curlewhall/wire/forms.py
@@ -0,0 +1,133 @@
+"""What fronts, nodes and the list service say to each other over HTTP, as JSON. See `docs/protocol.md`.
+
+Times are milliseconds, rates kB a second, `started_ms` milliseconds since 1970 (0: long past).
+"""
+
+import msgspec
+
+LINE = 4 << 20  # bytes of one line of a stream at most: a hello that names 10,000 plays is half of that
+
+
+class Malformed(Exception):
+    """What came is not of its form."""
+
+
+class Facts(msgspec.Struct, frozen=True):
+    """What a node keeps of a play for the front that holds it, and gives back to one that starts anew."""
+
+    play: str
+    number: int
+    product: str
+    customer: str
+    viewer: str
+    title: str
+    top: int
+    rung: int
+    floor: int = 0
+
+
+class SetUp(msgspec.Struct, frozen=True):
+    """POST /v1/plays: set a play up, within `span_ms`."""
+
+    front: str
+    facts: Facts
+    span_ms: float
+
+
+class SetUpDone(msgspec.Struct, frozen=True):
+    """201: it plays. 503: refused, nothing ran. A node names itself, so that a stranger's answer is told."""
+
+    node: str
+    play: str = ""
+    number: int = 0
+    report: dict[str, float] = {}
+    why: str = ""
+
+
+class Rung(msgspec.Struct, frozen=True):
+    """PUT /v1/plays/PLAY/rung."""
+
+    number: int
+    rung: int
+
+
+class Load(msgspec.Struct, frozen=True):
+    """GET /v1/load."""
+
+    node: str
+    report: dict[str, float] = {}
+
+
+class Event(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A line of GET /v1/events?front=NAME. `kind`: hello, tick, ended, delivered, link_asked,
+    uplink_asked.
+    """
+
+    kind: str
+    play: str = ""
+    number: int = 0
+    value: float = 0.0
+    how: str = ""
+    node: str = ""
+    plays: list[Facts] = []
+
+
+class Row(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A playout node, as the list service names it."""
+
+    node: str
+    address: str
+    port: int
+    place: int
+    zone: str
+    kind: str
+    state: str = "serving"  # or "draining", "gone"
+    weight: float = 1.0
+    started_ms: int = 0
+
+
+class Title(msgspec.Struct, frozen=True):
+    """A title, held by `places` places in a row from `first_place`."""
+
+    title: str
+    first_place: int
+    places: int
+    length_s: float
+
+
+class Listing(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A line of GET /v1/list?front=NAME&have=VERSION. `how`: whole, changes (since `since`), tick."""
+
+    how: str
+    version: int = 0
+    since: int = 0
+    rows: list[Row] = []
+    titles: list[Title] = []
+
+
+encode = msgspec.json.Encoder().encode
+_decoders: dict[type, msgspec.json.Decoder] = {}
+
+
+def decode(form: type, data: bytes):
+    """`data` as a `form`, or `Malformed` with what is wrong."""
+    decoder = _decoders.get(form)
+    if decoder is None:
+        decoder = _decoders[form] = msgspec.json.Decoder(form)
+    try:
+        return decoder.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as err:
+        raise Malformed(str(err)) from None
+
+
+class Lines:
+    """Cuts a stream into its lines; `Malformed` for one without end."""
+
+    def __init__(self) -> None:
+        self.rest = b""
+
+    def feed(self, data: bytes) -> list[bytes]:
+        *lines, self.rest = (self.rest + data).split(b"\n")
+        if len(self.rest) > LINE:
+            raise Malformed("a line without end")
+        return [line for line in lines if line]
--- /dev/null
+++ b/curlewhall/wire/server.py
@@ -0,0 +1,265 @@
+"""A server on one listening socket. Requests of a connection are answered in the order in which they came.
+
+`handler(exchange)` is called for each request and returns at once; the answer is given then or later, by
+`exchange.reply` or by `start`, `write` and `finish`. A client that hangs up with an answer still owed makes
+`exchange.gone` be called, once.
+"""
+
+import asyncio
+import socket
+import struct
+from collections import deque
+from collections.abc import Callable
+
+from .http import Limits, Message, Refused, Requests, chunk, response_head
+from .timers import Timers
+
+READ = 2048  # bytes of a connection's own buffer: a viewer's request takes a few hundred
+
+
+def listen(address: str, port: int, backlog: int = 4096) -> socket.socket:
+    """A listening socket that does not block; `OSError` where the address is taken."""
+    family = socket.AF_INET6 if ":" in address else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((address, port))
+        sock.listen(backlog)
+        sock.setblocking(False)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
+class Exchange:
+    """A request and the answer owed to it."""
+
+    __slots__ = ("line", "request", "pieces", "begun", "ended", "chunked", "gone", "keep")
+
+    def __init__(self, line: "Connection", request: Message) -> None:
+        self.line, self.request, self.pieces = line, request, deque()
+        self.begun = self.ended = self.chunked = False
+        self.gone: Callable[[], None] | None = None
+        self.keep = request.keep
+
+    def reply(self, status: int, fields: dict[str, str] | None = None, body: bytes = b"") -> None:
+        """The whole answer. A second one is an error of the caller's: `RuntimeError`."""
+        if self.begun:
+            raise RuntimeError("a request is answered once")
+        self.begun = self.ended = True
+        head = response_head(status, fields or {}, len(body), self.keep)
+        self.pieces.append(head if self.request.method == "HEAD" else head + body)
+        self.line.ready()
+
+    def start(self, status: int, fields: dict[str, str], length: int | None = None) -> None:
+        """The head of an answer whose body follows; without a length it goes out in chunks."""
+        if self.begun:
+            raise RuntimeError("a request is answered once")
+        self.begun, self.chunked = True, length is None
+        self.pieces.append(response_head(status, fields, length, self.keep))
+        self.line.ready()
+
+    def write(self, data: bytes) -> None:
+        """A piece of the body. A reader too slow for what waits already loses its connection."""
+        if data and not self.ended:
+            self.pieces.append(chunk(data) if self.chunked else data)
+            self.line.ready()
+
+    def finish(self) -> None:
+        if not self.ended:
+            self.ended = True
+            if self.chunked:
+                self.pieces.append(chunk(b""))
+            self.line.ready()
+
+    @property
+    def open(self) -> bool:
+        return not self.line.closed
+
+
+class Connection:
+    """One client: a task that reads, and one that writes while there is something to write."""
+
+    def __init__(self, server: "Server", sock: socket.socket, peer) -> None:
+        self.server, self.sock, self.peer = server, sock, peer
+        self.exchanges: deque[Exchange] = deque()
+        self.closed = self.writing = self.last = False
+        self.room = asyncio.Event()
+        self.limit = self.write_limit = None
+        self.reader, self.writer = server.loop.create_task(self.read()), None
+
+    def watch(self, span: float, why: str) -> None:
+        if self.limit is not None:
+            self.limit.cancel()
+        self.limit = self.server.timers.after(span, self.expire, why)
+
+    def expire(self, why: str) -> None:
+        self.limit = None
+        if why == "idle" and self.exchanges:  # an answer is owed: nothing is idle
+            self.watch(self.server.limits.idle, "idle")
+        elif why == "read":
+            self.refuse(Refused(408, "the request did not end in time"))
+        else:
+            self.close()
+
+    async def read(self) -> None:
+        loop, limits = self.server.loop, self.server.limits
+        parser, buffer = Requests(limits), bytearray(READ)
+        view = memoryview(buffer)
+        self.watch(limits.idle, "idle")
+        busy = False
+        try:
+            while not self.closed:
+                got = await loop.sock_recv_into(self.sock, buffer)
+                if not got:
+                    break
+                if self.last:
+                    continue  # nothing more is taken; only the hang-up is waited for
+                try:
+                    parser.feed(bytes(view[:got]))
+                finally:
+                    while parser.messages:
+                        self.take(parser.messages.popleft())
+                if (parser.current is not None) != busy or busy is False:
+                    busy = parser.current is not None
+                    self.watch(*((limits.read, "read") if busy else (limits.idle, "idle")))
+                # Danger: a client that sends and never reads. No more requests are taken than are answered.
+                while len(self.exchanges) >= limits.pipeline and not self.closed:
+                    self.room.clear()
+                    await self.room.wait()
+        except Refused as err:
+            self.refuse(err)
+            return
+        except (OSError, asyncio.CancelledError):
+            pass
+        self.close()
+
+    def take(self, request: Message) -> None:
+        if self.last:
+            return
+        self.last = not request.keep
+        exchange = Exchange(self, request)
+        self.exchanges.append(exchange)
+        self.server.handle(exchange)
+
+    def refuse(self, err: Refused) -> None:
+        """Answer what can't be taken, after all that is still owed, and close."""
+        if not self.closed and not self.last:
+            self.last = True
+            message = Message()
+            message.keep = False
+            exchange = Exchange(self, message)
+            self.exchanges.append(exchange)
+            exchange.reply(err.status, {"content-type": "text/plain; charset=utf-8"}, f"{err.why}\n".encode())
+
+    def ready(self) -> None:
+        if self.closed:
+            return
+        if sum(len(piece) for ex in self.exchanges for piece in ex.pieces) > self.server.limits.queued:
+            self.server.slow += 1
+            self.close()
+        elif not self.writing and self.exchanges and self.exchanges[0].pieces:
+            self.writing = True
+            self.writer = self.server.loop.create_task(self.write())
+
+    async def write(self) -> None:
+        loop, limits = self.server.loop, self.server.limits
+        limit = self.server.timers.after(limits.write, self.close)
+        try:
+            while self.exchanges and not self.closed:
+                head = self.exchanges[0]
+                if head.pieces:
+                    data = b"".join(head.pieces) if len(head.pieces) > 1 else head.pieces[0]
+                    head.pieces.clear()
+                    await loop.sock_sendall(self.sock, data)
+                    limit.cancel()
+                    limit = self.server.timers.after(limits.write, self.close)
+                elif head.ended:
+                    self.exchanges.popleft()
+                    self.room.set()
+                    if not head.keep:
+                        self.close()
+                else:
+                    break
+        except (OSError, asyncio.CancelledError):
+            self.close()
+        finally:
+            limit.cancel()
+            self.writing = False
+        self.ready()
+
+    def abort(self) -> None:
+        """Close so that the other side sees a reset (RFC 9293 section 3.10.5)."""
+        if not self.closed:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            self.close()
+
+    def close(self) -> None:
+        """Close once; whoever is still owed an answer is told that its client is gone."""
+        if self.closed:
+            return
+        self.closed = True
+        self.server.connections.discard(self)
+        if self.limit is not None:
+            self.limit.cancel()
+        owed = [ex for ex in self.exchanges if not ex.ended]
+        self.exchanges.clear()
+        self.room.set()
+        current = asyncio.current_task(self.server.loop)
+        for task in (self.reader, self.writer):
+            if task is not None and task is not current:
+                task.cancel()
+        # The tasks give the descriptor up in the next turn; closed under them, its number could be reused.
+        self.server.loop.call_soon(self.sock.close)
+        for exchange in owed:
+            if exchange.gone is not None:
+                exchange.gone()
+
+
+class Server:
+    """Accepts until `close`. More connections than the limit are closed unanswered."""
+
+    def __init__(self, loop, timers: Timers, sock: socket.socket, handler: Callable[[Exchange], None],
+                 limits: Limits = Limits()) -> None:  # noqa: B008 - a tuple, never changed
+        self.loop, self.timers, self.sock, self.handler, self.limits = loop, timers, sock, handler, limits
+        self.connections: set[Connection] = set()
+        self.turned_away = self.slow = 0
+        self.accepted: Callable[[Connection], bool] | None = None
+        self.task = loop.create_task(self.accept())
+
+    async def accept(self) -> None:
+        while True:
+            try:
+                sock, peer = await self.loop.sock_accept(self.sock)
+            except OSError:
+                await asyncio.sleep(0.05)  # out of descriptors: let some connections end first
+                continue
+            sock.setblocking(False)
+            if len(self.connections) >= self.limits.connections:
+                self.turned_away += 1
+                sock.close()
+                continue
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            line = Connection(self, sock, peer)
+            self.connections.add(line)
+            if self.accepted is not None and not self.accepted(line):
+                line.close()
+
+    def handle(self, exchange: Exchange) -> None:
+        try:
+            self.handler(exchange)
+        except Exception as err:
+            self.loop.call_exception_handler({"message": "a handler failed", "exception": err})
+            if not exchange.begun:
+                exchange.reply(500)
+
+    def stop(self) -> None:
+        """Accept no more; what is open stays open."""
+        self.task.cancel()
+        self.loop.call_soon(self.sock.close)
+
+    def close(self) -> None:
+        self.stop()
+        for line in list(self.connections):
+            line.close()
--- /dev/null
+++ b/tests/loopback.py
@@ -0,0 +1,79 @@
+"""Helpers of tests that use loopback sockets: a loop for each test, raw peers and raw servers."""
+
+import asyncio
+import contextlib
+import functools
+import socket
+
+import uvloop
+
+from curlewhall.wire import http
+
+PATIENCE = 30  # seconds after which a test that waits for what never comes is given up
+
+
+def looped(test):
+    """Run an async test in a loop of its own."""
+    @functools.wraps(test)
+    def run(*facts, **named):
+        async def limited():
+            async with asyncio.timeout(PATIENCE):
+                await test(*facts, **named)
+        uvloop.run(limited())
+    return run
+
+
+class Peer:
+    """A client that says raw bytes and reads messages."""
+
+    def __init__(self, sock):
+        self.sock, self.loop = sock, asyncio.get_running_loop()
+        self.reader = http.Responses(http.Limits())
+
+    @classmethod
+    async def open(cls, port, address="127.0.0.1"):
+        sock = socket.socket()
+        sock.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(sock, (address, port))
+        return cls(sock)
+
+    async def send(self, raw):
+        await self.loop.sock_sendall(self.sock, raw)
+
+    async def message(self):
+        while not self.reader.messages:
+            got = await self.loop.sock_recv(self.sock, 65536)
+            assert got, "closed before the message was whole"
+            self.reader.feed(got)
+        return self.reader.messages.popleft()
+
+    async def closed(self):
+        """Wait for the other side to close; what it says before is passed over."""
+        with contextlib.suppress(ConnectionError):
+            while await self.loop.sock_recv(self.sock, 65536):
+                pass
+        self.sock.close()
+        return True
+
+    def close(self):
+        self.sock.close()
+
+
+@contextlib.asynccontextmanager
+async def raw_server(said, hold=False):
+    """A server that reads something, says `said` and closes, or holds the connection."""
+    async def serve(reader, writer):
+        with contextlib.suppress(ConnectionError):
+            await reader.read(10)
+            writer.write(said)
+            await writer.drain()
+            if hold:
+                await reader.read(10_000_000)
+                await reader.read(1)
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    try:
+        yield server.sockets[0].getsockname()[1]
+    finally:
+        server.close()
--- /dev/null
+++ b/tests/wire/test_wire.py
@@ -0,0 +1,239 @@
+"""Server and client over loopback: order, limits, hang-ups, and how surely nothing ran."""
+
+import asyncio
+import socket
+
+import pytest
+from loopback import Peer, looped, raw_server
+
+from curlewhall.wire import http
+from curlewhall.wire.client import Pool
+from curlewhall.wire.server import Server, listen
+from curlewhall.wire.timers import Timers
+
+GET = b"GET /%d HTTP/1.1\r\nHost: a\r\n\r\n"
+
+
+class Rig:
+    """A server whose exchanges wait in `asked` until a test answers them."""
+
+    def __init__(self, **limits):
+        self.loop = asyncio.get_running_loop()
+        self.timers = Timers(self.loop)
+        self.asked, self.gone = asyncio.Queue(), asyncio.Queue()
+        sock = listen("127.0.0.1", 0)
+        self.port = sock.getsockname()[1]
+        self.server = Server(self.loop, self.timers, sock, self.handle, http.Limits()._replace(**limits))
+
+    def handle(self, exchange):
+        exchange.gone = lambda: self.gone.put_nowait(exchange)
+        self.asked.put_nowait(exchange)
+
+    def pool(self, port=None, **more):
+        return Pool(self.loop, self.timers, "127.0.0.1", port or self.port, **more)
+
+
+@looped
+async def test_pipelined_requests_are_answered_in_order_whatever_is_ready_first():
+    rig = Rig()
+    peer = await Peer.open(rig.port)
+    await peer.send(b"".join(GET % i for i in range(3)))
+    first, second, third = [await rig.asked.get() for _ in range(3)]
+    third.reply(200, {}, b"C")
+    second.start(200, {})
+    second.write(b"B")
+    second.finish()
+    first.reply(200, {}, b"A")
+    bodies = [(await peer.message()).body for _ in range(3)]
+    assert bodies == [b"A", b"B", b"C"]
+
+
+@looped
+async def test_no_more_requests_are_taken_than_the_pipeline_holds():
+    rig = Rig(pipeline=2)
+    peer = await Peer.open(rig.port)
+    await peer.send(b"".join(GET % i for i in range(2)))
+    taken = [await rig.asked.get() for _ in range(2)]
+    await peer.send(b"".join(GET % i for i in range(2, 4)))
+    for exchange in taken:
+        exchange.reply(200)
+    assert [(await rig.asked.get()).request.target for _ in range(2)] == ["/2", "/3"]
+
+
+@looped
+async def test_a_reader_that_never_reads_loses_its_connection_not_our_memory():
+    rig = Rig(queued=200_000)
+    peer = await Peer.open(rig.port)
+    await peer.send(GET % 1)
+    exchange = await rig.asked.get()
+    exchange.start(200, {})
+    while exchange.open:
+        exchange.write(b"x" * 10_000)
+        await asyncio.sleep(0)
+    assert rig.server.slow == 1 and not exchange.pieces or sum(map(len, exchange.pieces)) < 300_000
+    assert await rig.gone.get() is exchange
+
+
+@looped
+async def test_who_hangs_up_with_an_answer_owed_is_told_of_once():
+    rig = Rig()
+    peer = await Peer.open(rig.port)
+    await peer.send(GET % 1 + GET % 2)
+    exchanges = [await rig.asked.get() for _ in range(2)]
+    exchanges[0].reply(200)
+    await peer.message()
+    peer.close()
+    assert await rig.gone.get() is exchanges[1]
+    exchanges[1].reply(200)  # too late, and harmless
+    assert rig.gone.empty() and not rig.server.connections
+
+
+@looped
+async def test_a_refused_message_is_answered_after_what_is_owed_and_ends_the_connection():
+    rig = Rig()
+    peer = await Peer.open(rig.port)
+    await peer.send(GET % 1 + b"GET / HTTP/1.1\r\n\r\n" + GET % 2)
+    (await rig.asked.get()).reply(200)
+    assert [(await peer.message()).status for _ in range(2)] == [200, 400]
+    assert await peer.closed() and rig.asked.empty()
+
+
+@looped
+@pytest.mark.parametrize(("raw", "status"), [(b"GET / HTTP/1.1\r\nHos", 408), (b"", None)])
+async def test_half_a_request_and_none_at_all_run_out_of_time(raw, status):
+    rig = Rig(read=0.05, idle=0.05)
+    peer = await Peer.open(rig.port)
+    await peer.send(raw)
+    if status:
+        assert (await peer.message()).status == status
+    assert await peer.closed()
+
+
+@looped
+async def test_a_held_answer_outlasts_the_idle_limit():
+    rig = Rig(idle=0.03)
+    reply = asyncio.ensure_future(rig.pool().fetch(GET % 1, 5))
+    exchange = await rig.asked.get()
+    for _ in range(3):  # three limits pass; each is seen to pass, none is guessed
+        passed = asyncio.Event()
+        rig.timers.after(0.04, passed.set)
+        await passed.wait()
+    exchange.reply(200)
+    assert (await reply).ending == "ok"
+
+
+@looped
+async def test_connections_beyond_the_limit_are_turned_away():
+    rig = Rig(connections=1)
+    one = await Peer.open(rig.port)
+    await one.send(GET % 1)
+    await rig.asked.get()
+    other = await Peer.open(rig.port)
+    assert await other.closed() and rig.server.turned_away == 1
+
+
+HEAD = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n"
+
+
+@looped
+@pytest.mark.parametrize(("said", "ending"), [
+    (HEAD + b"ok", "ok"), (b"HTTP/1.1 103 Early Hints\r\n\r\n" + HEAD + b"ok", "ok"),
+    (HEAD + b"o", "broken"), (b"", "broken"), (b"HTTP/1.1 200 OK\r\ncontent-le", "broken"),
+    (b"certainly not HTTP\r\n\r\n", "error"), (b"HTTP/1.1 200 OK\r\n" + b"x: y\r\n" * 9000, "error"),
+    (b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\nx", "error"),
+    (b"HTTP/1.1 200 OK\r\ncontent-length: 99999999\r\n\r\n", "error"),
+])
+async def test_what_came_after_the_first_byte_is_never_taken_for_proof(said, ending):
+    rig = Rig()
+    async with raw_server(said) as port:
+        assert (await rig.pool(port).fetch(GET % 1, 5)).ending == ending
+
+
+@looped
+async def test_a_refused_connection_is_unreached():
+    sock = socket.socket()
+    sock.bind(("127.0.0.1", 0))  # bound and not listening: refused, and nobody else gets the port
+    reply = await Rig().pool(sock.getsockname()[1]).fetch(GET % 1, 5)
+    sock.close()
+    assert reply.ending == "unreached"
+
+
+@looped
+async def test_late_withdrawn_and_never_sent():
+    rig = Rig()
+    pool, done = rig.pool(), []
+    reply = await pool.fetch(GET % 1, 0.05)
+    assert reply.ending == "late" and (await rig.gone.get()).request.target == "/1"
+    pool.ask(GET % 2, 5, done.append).withdraw()
+    assert done[0].ending == "not_sent"
+    ask = pool.ask(GET % 3, 5, done.append)
+    while (await rig.asked.get()).request.target != "/3":
+        pass
+    ask.withdraw()
+    ask.withdraw()
+    assert [reply.ending for reply in done] == ["not_sent", "withdrawn"]
+    assert (await rig.gone.get()).request.target == "/3"
+
+
+@looped
+async def test_a_no_in_the_last_moment_sends_nothing():
+    rig = Rig()
+    reply = asyncio.get_running_loop().create_future()
+    rig.pool().ask(GET % 1, 5, reply.set_result, may=lambda: False)
+    assert (await reply).ending == "not_sent" and rig.asked.empty()
+
+
+@looped
+async def test_a_pooled_connection_found_closed_is_replaced_before_the_first_byte():
+    rig = Rig()
+    pool = rig.pool()
+    for expected in (1, 1):  # the second is served over the first one's connection
+        reply = asyncio.ensure_future(pool.fetch(GET % 1, 5))
+        (await rig.asked.get()).reply(200)
+        assert (await reply).ending == "ok" and pool.opened == expected
+    for line in list(rig.server.connections):
+        line.close()
+    await asyncio.sleep(0)
+    while not pool.idle[0][1].stale():
+        await asyncio.sleep(0)
+    reply = asyncio.ensure_future(pool.fetch(GET % 2, 5))
+    (await rig.asked.get()).reply(200)
+    assert (await reply).ending == "ok" and pool.opened == 2
+
+
+@looped
+async def test_a_pooled_connection_that_dies_after_the_first_byte_is_broken_never_unreached():
+    rig = Rig()
+    pool = rig.pool()
+    reply = asyncio.ensure_future(pool.fetch(GET % 1, 5))
+    (await rig.asked.get()).reply(200)
+    await reply
+    reply = asyncio.ensure_future(pool.fetch(GET % 2, 5))
+    exchange = await rig.asked.get()
+    assert pool.opened == 1
+    exchange.line.abort()
+    assert (await reply).ending == "broken"
+
+
+@looped
+async def test_an_answer_too_many_is_not_taken_for_that_of_the_next_request():
+    rig = Rig()
+    async with raw_server(HEAD + b"ok" + HEAD + b"no", hold=True) as port:
+        pool = rig.pool(port)
+        assert (await pool.fetch(GET % 1, 5)).message.body == b"ok"
+        assert not pool.idle
+
+
+@looped
+async def test_timers_ring_in_order_and_forget_what_was_cancelled():
+    timers, rung, last = Timers(asyncio.get_running_loop()), [], asyncio.Event()
+    timers.after(0.03, last.set)
+    for span in (0.02, 0.01, 0.02):
+        timers.after(span, rung.append, (span, len(timers)))
+    dead = [timers.after(0.01, rung.append, "dead") for _ in range(500)]
+    for timer in dead:
+        timer.cancel()
+        timer.cancel()
+    assert len(timers) == 4 and len(timers.heap) < 100
+    await last.wait()
+    assert rung == [(0.01, 2), (0.02, 1), (0.02, 3)] and len(timers) == 0
