Hard cases of the front caused over loopback; titles spread over all places of a fleet

Need: the front's edges were not tested, and a drill's fleet left nodes at places that held no title.

--- a/curlewhall/drills/baselines.py
+++ b/curlewhall/drills/baselines.py
@@ -107,7 +107,8 @@
             return self.decline(play, ask, self.products[ask.product][1])
         return self.send(now, play)
 
-    def resumed(self, now, play, product, customer, viewer, title, first_place, places, top_rung, length, node):
+    def resumed(self, now, play, product, customer, viewer, title, first_place, places, top_rung, length,
+                node):
         ask = self.plays[play] = Ask(product, now, set())
         ask.answered, ask.nodes = True, [node]
         self.held[node] = self.held.get(node, 0) + 1
--- a/curlewhall/drills/breakers.py
+++ b/curlewhall/drills/breakers.py
@@ -55,7 +55,7 @@
     def listed(self, now, how, rows):
         rows = list(rows)
         for row in rows:
-            if row.started > 0 and row.state == "serving":
+            if row.started > 0 and row.state == "serving" and self.young is None:
                 self.young = row.node
                 self.out.append(("wake", SECOND * 12 // 5, -5))
         return super().listed(now, how, rows)
--- a/curlewhall/drills/fleet.py
+++ b/curlewhall/drills/fleet.py
@@ -12,6 +12,7 @@
 import sys
 import time
 import urllib.request
+from itertools import count
 from pathlib import Path
 
 from google.protobuf import text_format
@@ -22,7 +23,7 @@
 PORT = 8400
 RUNGS, WORTH = [200.0, 450.0, 900.0, 1800.0], [0.22, 0.5, 0.78, 1.0]
 LINK, STREAMS, RACK, UPLINK = 9000.0, 40, 5, 0.72  # kB a second, plays, nodes in a rack, part of their links
-PLACES = 7  # titles lie on three of them in a row
+HOLDERS = 3  # a title lies on so many places in a row, about two nodes each
 LIFE = {"dear": (5, 12), "plain": (4, 10), "paid": (6, 14)}  # seconds: short, so that a short day turns over
 
 
@@ -30,23 +31,25 @@
     """A process of the drill did not start, or ended by itself."""
 
 
+_nets = count()
+
+
 def subnet() -> str:
-    """127.a.b: 250 times 250 of them, one to a process."""
-    pid = os.getpid()
-    return f"127.{2 + pid % 250}.{1 + pid // 250 % 250}"
+    """127.a.b: another one for each plan of a process, and for each process another row of them."""
+    return f"127.{2 + os.getpid() % 250}.{1 + (os.getpid() // 250 * 16 + next(_nets)) % 250}"
 
 
 def make_plan(seed: int, nodes: int, fronts: int, seconds: float, folder: Path) -> dict:
     """The plan of a fleet. The same seed gives the same fleet but for addresses and folder."""
     rng = random.Random(f"fleet {seed}")
-    net, racks = subnet(), max(2, nodes // RACK)
+    net, racks, places = subnet(), max(2, nodes // RACK), max(HOLDERS, nodes // 2)
     zones = ["north", "south"] if nodes > 6 else ["north"]
-    specs = [{"node": f"n{i:03}", "address": f"{net}.{10 + i}", "port": PORT, "place": i % (racks * PLACES),
+    specs = [{"node": f"n{i:03}", "address": f"{net}.{10 + i}", "port": PORT, "place": i,
               "zone": zones[i % len(zones)], "kind": "box", "weight": 1.0, "streams": STREAMS,
               "link": LINK * rng.uniform(0.85, 1.15)} for i in range(nodes)]
     sizes = [sum(spec["place"] % racks == r for spec in specs) for r in range(racks)]
     uplinks = [max(1, size) * LINK * UPLINK * rng.uniform(0.85, 1.15) for size in sizes]
-    titles = [{"title": f"clip-{i:02}", "first_place": rng.randrange(PLACES), "places": 3,
+    titles = [{"title": f"clip-{i:02}", "first_place": rng.randrange(places), "places": HOLDERS,
                "length_s": 600.0} for i in range(max(8, nodes))]
     pairs = [(i, j) for i in range(fronts) for j in range(fronts) if i != j]
     products = [
@@ -64,7 +67,7 @@
     mean = sum(p["share"] * sum(p["life"]) / 2 * p["scale"] for p in products)
     return {
         "seed": seed, "seconds": seconds, "folder": str(folder), "rung_kb": RUNGS, "worth": WORTH,
-        "segment": 1.0, "byte_scale": 0.005, "vary": 0.15, "places": PLACES, "racks": racks, "zones": zones,
+        "segment": 1.0, "byte_scale": 0.005, "vary": 0.15, "places": places, "racks": racks, "zones": zones,
         "nodes": specs, "uplinks": uplinks, "titles": titles, "products": products,
         "customers": [{"name": "west", "share": 0.8}, {"name": "east", "share": 0.2}],
         "setup_ms": [20, 90], "scales": {p["name"]: p["scale"] for p in products},
@@ -114,7 +117,7 @@
     file.ladder.worth.extend(plan["worth"])
     fleet.kind.add(name="box", streams=STREAMS)
     fleet.zone.extend(plan["zones"])
-    fleet.places, fleet.racks = plan["racks"] * PLACES, plan["racks"]
+    fleet.places, fleet.racks = plan["places"], plan["racks"]
     fleet.uplink_kb, fleet.link_unit_kb = sum(plan["uplinks"]) / len(plan["uplinks"]), LINK
     reports = plan["reports"]
     file.reports.how = {"on_probe": 0, "inline": 1, "off": 2}[reports["how"]]
--- a/curlewhall/drills/troubles.py
+++ b/curlewhall/drills/troubles.py
@@ -119,8 +119,8 @@
     """Nodes drain one after another, die, and start anew, cold."""
     nodes, steps, at = some(rng, plan, 0.1, 0.3), [], rng.uniform(0.1, 0.2) * seconds
     for node in nodes:
-        steps += [(at, "fault", node, "drain", 1), (at + 3, "fault", node, "die", 1),
-                  (at + 3.5, "fault", node, "drain", 0), (at + 4, "fault", node, "start", 1)]
+        steps += [(at, "fault", node, "drain", 1), (at + 4, "fault", node, "die", 1),
+                  (at + 5, "fault", node, "start", 1)]
         at += max(1.5, 0.6 * seconds / len(nodes))
     return [step for step in steps if step[0] < seconds]
 
--- a/curlewhall/front/nodes.py
+++ b/curlewhall/front/nodes.py
@@ -144,7 +144,11 @@
     def follow(self, node: Node) -> None:
         """Ask for the node's stream unless it is open or about to be."""
         node.pause = None
-        if node.stream is None and node.row.state != "gone" and self.nodes.get(node.row.node) is node:
+        if node.stream is not None or self.nodes.get(node.row.node) is not node:
+            return
+        if node.row.state == "gone":
+            self.lost(node.row.node)  # no stream, and the list says why
+        else:
             node.lines = forms.Lines()
             data = request_bytes("GET", f"/v1/events?front={self.front}", node.pool.host)
             node.stream = node.pool.ask(data, FOREVER, lambda reply: self.stream_ended(node, reply),
--- a/curlewhall/front/serve.py
+++ b/curlewhall/front/serve.py
@@ -29,12 +29,14 @@
 def policy(name: str) -> Callable:
     """The class that `MODULE:CLASS` names; `ValueError` says what is wrong with it."""
     module, colon, cls = name.partition(":")
+    if not colon:
+        raise ValueError(f"{name!r} is not MODULE:CLASS")
     try:
         found = getattr(importlib.import_module(module), cls)
     except (ImportError, AttributeError, ValueError) as err:
         raise ValueError(f"{name!r}: {err}") from None
-    if not colon or not callable(found):
-        raise ValueError(f"{name!r} is not MODULE:CLASS")
+    if not callable(found):
+        raise ValueError(f"{name!r} is no class")
     return found
 
 
--- a/curlewhall/settings/positions.py
+++ b/curlewhall/settings/positions.py
@@ -44,7 +44,9 @@
     index = counts.get(name, 0)
     counts[name] = index + 1
     path = f"{head}{name}[{index}]"
-    found[path] = at
-    if index == 0:
-        found.setdefault(f"{head}{name}", at)
+    # a field that is no list is named without its number, at every depth
+    for alias in (path, f"{head.replace('[0]', '')}{name}[{index}]"):
+        found.setdefault(alias, at)
+        if index == 0:
+            found.setdefault(alias[:-3], at)
     return path
--- a/curlewhall/standins/fleet.py
+++ b/curlewhall/standins/fleet.py
@@ -12,7 +12,6 @@
 import resource
 import signal
 import sys
-import time
 from pathlib import Path
 
 import msgspec
@@ -48,11 +47,10 @@
 
         self.relay = Relay(self.loop, self.timers, plan["relay"], self.records)
 
-    def row(self, node: Node, state: str = "serving", started: bool = False) -> forms.Row:
+    def row(self, node: Node, state: str = "serving") -> forms.Row:
         spec = node.spec
         return forms.Row(spec["node"], spec["address"], spec["port"], spec["place"], spec["zone"],
-                         spec["kind"],
-                         state, spec["weight"], int(time.time() * 1000) if started else 0)
+                         spec["kind"], state, spec["weight"], node.started_ms)
 
     async def start(self) -> None:
         await self.relay.start()
@@ -93,7 +91,7 @@
         if kind == "die" and was:
             self.list.change(self.row(node, "gone"))
         elif kind == "start" and not was:
-            self.list.change(self.row(node, started=True))
+            self.list.change(self.row(node))
         elif kind == "drain":
             self.list.change(self.row(node, "draining" if value else "serving"))
 
--- a/curlewhall/standins/node.py
+++ b/curlewhall/standins/node.py
@@ -6,6 +6,7 @@
 `ageing` take from its link; `gap` keeps its notes back.
 """
 
+import time
 from urllib.parse import parse_qsl, urlsplit
 
 from curlewhall.dash import cmsd, tokens
@@ -43,6 +44,7 @@
         self.count, self.smooth, self.short, self.life = 0, 1.0, False, 0
         self.reported: tuple[float, dict] = (float("-inf"), {})
         self.machine = self.make(warm=True)
+        self.started_ms = 0
         self.fell = None  # called once when the node falls over
 
     def make(self, warm: bool) -> Machine:
@@ -57,6 +59,8 @@
         """Open the socket; a start that is not the fleet's first is cold."""
         self.machine, self.life = self.make(warm), self.life + 1
         self.faults.clear()
+        self.spec["draining"] = False
+        self.started_ms = 0 if warm else int(time.time() * 1000)
         self.server = Server(self.loop, self.timers, listen(self.spec["address"], self.spec["port"]),
                              self.handle)
         self.records.write(self.at, "start", cold=not warm, streams=self.spec["streams"])
--- /dev/null
+++ b/tests/front/test_driver.py
@@ -0,0 +1,141 @@
+"""The driver alone: a scripted module above, a scripted nodes' side below."""
+
+import asyncio
+
+import pytest
+from loopback import looped
+
+from curlewhall.cli import logs
+from curlewhall.front.driver import Driver, Held
+from curlewhall.wire.forms import Facts, Title
+from curlewhall.wire.timers import Timers
+
+
+class Script:
+    """Stands for module, nodes' side and viewers' side: writes down what it is told, says what it is bid."""
+
+    def __init__(self, *_):
+        self.calls, self.says = [], {}
+
+    def __getattr__(self, name):
+        def called(*facts, **named):
+            self.calls.append((name, *facts))
+            said = self.says.get(name, ())
+            return said(*facts) if callable(said) else said
+        return called
+
+    def names(self):
+        return [call[0] for call in self.calls]
+
+
+class Out:
+    """An allocation that is out."""
+
+    def __init__(self, done):
+        self.done, self.withdraw = done, lambda: done("withdrawn")
+
+
+class Rig:
+    def __init__(self, limit=300):
+        self.module, self.nodes, self.viewers = Script(), Script(), Script()
+        log = logs.make("json", "error")
+        self.driver = Driver(lambda *_: self.module, 1, {}, Timers(asyncio.get_running_loop()), log)
+        self.driver.nodes, self.driver.viewers = self.nodes, self.viewers
+        self.nodes.says["set_up"] = lambda held, number, node, span: Out(
+            lambda how: self.driver.set_up_ended(held, number, node, how, 0.01, {}))
+        self.held = Held(Facts("p", 0, "plain", "", "v", "t", 2, 0), Title("t", 0, 3, 60), None,
+                         self.driver.clock.now() + limit * 10, self.driver.clock.now())
+
+    def ask(self, *answers):
+        self.module.says["asked"] = answers
+        self.driver.asked(self.held, again=False, moved=False)
+
+
+ALLOCATE = ("allocate", "p", "n", 1000)
+
+
+@looped
+async def test_what_follows_from_an_answer_waits_until_the_list_of_answers_is_done():
+    rig = Rig()
+    rig.ask(("rung", "p", 2), ALLOCATE, ("withdraw", "p", 0), ("log", "a"), ("probe", "n"))
+    assert rig.nodes.names() == ["set_up", "end", "probe"]
+    assert rig.module.names() == ["asked", "ended"]
+    assert rig.module.calls[1][2:6] == ("p", 0, "n", "withdrawn")
+
+
+@looped
+@pytest.mark.parametrize(("how", "ends"), [("late", 1), ("broken", 1), ("error", 1), ("full", 0),
+                                            ("unreached", 0), ("not_sent", 0)])
+async def test_what_may_have_run_is_ended_at_its_node_and_told_to_the_module(how, ends):
+    rig = Rig()
+    rig.module.says["ended"] = [("decline", "p", 0)]
+    rig.ask(ALLOCATE)
+    rig.driver.set_up_ended(rig.held, 0, "n", how, 0.1, {})
+    assert rig.nodes.names().count("end") == ends and rig.viewers.names() == ["decline"]
+    assert rig.module.calls[-1][2:7] == ("p", 0, "n", how, False) and not rig.driver.plays
+
+
+@looped
+async def test_a_first_frame_is_one_answer_and_notes_follow_it():
+    rig = Rig()
+    rig.ask(ALLOCATE, ("rung", "p", 1))
+    rig.driver.set_up_ended(rig.held, 0, "n", "ok", 0.1, {"link_asked": 0.5, "uplink_asked": 0.2})
+    assert rig.module.names() == ["asked", "first_frame", "note", "note"] and rig.viewers.names() == ["play"]
+    rig.module.says["note"] = [("rung", "p", 0), ("fail", "p"), ("decline", "p", 9)]
+    rig.driver.noted("p", "n", "delivered", 0.5)
+    assert rig.nodes.calls[-1] == ("set_rung", "n", "p", 0, 0) and rig.viewers.names() == ["play"]
+    rig.driver.play_ended("p", "ok")
+    rig.driver.play_ended("p", "ok")
+    assert rig.module.names().count("ended") == 1 and not rig.driver.plays
+
+
+@looped
+async def test_a_module_that_says_nothing_is_answered_for_at_the_limit():
+    rig = Rig(limit=20)
+    rig.ask()
+    while not rig.viewers.names():
+        await asyncio.sleep(0.001)
+    assert rig.viewers.names() == ["fail"] and rig.module.names() == ["asked", "left"]
+    assert rig.driver.clock.now() >= rig.held.limit and not rig.driver.plays
+
+
+@looped
+async def test_a_module_that_fails_costs_no_other_play():
+    rig = Rig(limit=20)
+    rig.module.says["asked"] = lambda *_: 1 / 0
+    rig.driver.asked(rig.held, again=False, moved=False)
+    assert rig.driver.counts["faults"] == 1
+    while not rig.viewers.names():
+        await asyncio.sleep(0.001)
+    assert rig.viewers.names() == ["fail"]
+
+
+@looped
+async def test_a_viewer_who_left_gets_no_answer_and_its_allocation_ends():
+    rig = Rig()
+    rig.ask(ALLOCATE)
+    rig.driver.left(rig.held)
+    rig.driver.left(rig.held)
+    assert rig.module.names() == ["asked", "left", "ended"] and rig.viewers.names() == []
+    assert rig.module.calls[-1][5:7] == ("withdrawn", True) and not rig.driver.plays
+
+
+@looped
+async def test_a_first_frame_that_crosses_a_viewers_leaving_is_ended_at_the_node():
+    rig = Rig()
+    rig.nodes.says["set_up"] = lambda *_: Script()  # its answer is already on its way
+    rig.ask(ALLOCATE)
+    rig.driver.left(rig.held)
+    rig.driver.set_up_ended(rig.held, 0, "n", "ok", 0.1, {})
+    assert rig.nodes.calls[-1] == ("end", "n", "p", 0, "withdrawn") and not rig.driver.plays
+
+
+@looped
+async def test_a_moved_play_ends_at_its_node_and_may_come_again():
+    rig = Rig()
+    rig.ask(ALLOCATE)
+    rig.driver.set_up_ended(rig.held, 0, "n", "ok", 0.1, {})
+    rig.module.says["note"] = [("move", "p")]
+    rig.driver.noted("p", "n", "delivered", 0.5)
+    assert rig.nodes.calls[-1] == ("end", "n", "p", 0, "moved") and rig.viewers.names() == ["play", "moved"]
+    assert rig.module.calls[-1][5] == "withdrawn" and not rig.driver.plays
--- /dev/null
+++ b/tests/front/test_front.py
@@ -0,0 +1,219 @@
+"""The front over loopback: each hard case is caused, and judged by what passed on the sockets."""
+
+import asyncio
+import time
+
+import pytest
+from front.town import town, until
+from loopback import Peer, looped
+
+from curlewhall import policy
+from curlewhall.dash import tokens
+from curlewhall.drills.baselines import TwoDrawn
+from curlewhall.front.driver import Clock
+
+
+@looped
+async def test_a_play_from_request_to_segments(tmp_path):
+    async with town(tmp_path) as place:
+        message, plan = await place.ask(product="paid")
+        assert message.headers["content-type"] == "application/dash+xml" and plan.rungs[0][0] == 1
+        segment = await place.segment(plan)
+        assert segment.status == 200 and segment.body.startswith(b"00000001")
+        assert "mb=" in segment.headers["cmsd-dynamic"]
+        setup, = place.rows("setup")
+        assert setup["play"] == message.headers["curlewhall-play"] and setup["rung"] >= 1
+
+
+@looped
+async def test_a_token_is_good_for_its_play_on_its_node_in_its_time(tmp_path):
+    async with town(tmp_path) as place:
+        _, plan = await place.ask()
+        play, node = place.rows("setup")[0]["play"], place.rows("setup")[0]["at"][5:]
+        sound = tokens.Session(play, 0, node, "front-0", "clip-00", "plain")
+        now, key = time.time(), b"k" * 32
+        for expected, token in [
+            (200, tokens.sign(sound, key, now, 60)), (403, tokens.sign(sound, b"x" * 32, now, 60)),
+            (403, tokens.sign(sound, key, now - 90, 60)), (403,
+                                                           tokens.sign(sound._replace(node="n9"), key, now,
+                                                                       60)),
+            (403, tokens.sign(sound._replace(play="other"), key, now, 60)), (403, "nonsense"),
+            (403, tokens.sign(sound._replace(number=1), key, now, 60)),
+        ]:
+            assert (await place.segment(plan, token=token)).status == expected
+
+
+@looped
+@pytest.mark.parametrize(("facts", "status", "words"), [
+    ({"title": "nothing"}, 404, "not in the list"), ({"product": "nothing"}, 400, "expected one of dear"),
+    ({"viewer": ""}, 400, "viewer"), ({"top": "-1"}, 400, "whole number"), ({"top": "x"}, 400,
+                                                                            "whole number"),
+    ({"limit_ms": "0"}, 400, "1 at least"), ({"product": "paid", "top": 0}, 400, "expected 1 at least"),
+])
+async def test_what_is_not_understood_is_a_problem_document_and_no_play(tmp_path, facts, status, words):
+    async with town(tmp_path) as place:
+        message, problem = await place.ask(**facts)
+        assert message.status == problem["status"] == status and words in problem["detail"]
+        assert message.headers["content-type"] == "application/problem+json"
+        assert place.fronts[0].driver.counts["asked"] == 0
+
+
+@looped
+async def test_a_paid_play_whose_node_freezes_after_accepting_gets_one_answer_in_time_and_no_second_set_up(
+        tmp_path):
+    async with town(tmp_path) as place:
+        place.fault("freeze_setups")
+        began = time.monotonic()
+        message, problem = await place.ask(product="paid", limit_ms=700)
+        assert message.status == 502 and time.monotonic() - began < 0.7
+        assert len(place.rows("setup")) == 1
+        await until(lambda: place.rows("end"))  # the node sees that nobody waits any more
+        assert not place.fronts[0].driver.plays
+
+
+@looped
+@pytest.mark.parametrize(("fault", "product", "status", "setups"), [
+    ("reset", "paid", 502, 1), ("garbage", "paid", 502, None), ("endless", "paid", 502, None),
+    ("stranger", "paid", 502, 1), ("reset", "plain", 200, 2), ("garbage", "plain", 200, None),
+    ("endless", "plain", 200, None), ("stranger", "plain", 200, 2), ("freeze", "plain", 200, 2),
+    ("die", "paid", 200, 1), ("die", "plain", 200, 1),
+])
+async def test_only_a_refused_connection_lets_a_paid_play_go_on(tmp_path, fault, product, status, setups):
+    async with town(tmp_path, nodes=3) as place:
+        place.plan["list_service"]["lag"] = [60, 60]  # the list does not help
+        first = {}
+
+        class Steered(policy.Front):
+            def drawing(self, now, ply):
+                if not ply.allocations:
+                    ply.nodes = [self.nodes["n000"]]
+                else:
+                    ply.nodes = [n for n in ply.nodes if n.id != "n000"]
+                first.setdefault(ply.id, ply.nodes[0].id)
+                return policy.PASS
+
+        await place.kill(place.fronts[0])
+        await place.front(Steered)
+        place.fault(fault, nodes=["n000"])
+        message, _ = await place.ask(product=product, limit_ms=2500)
+        assert message.status == status and set(first.values()) == {"n000"}
+        if setups is not None:
+            assert len(place.rows("setup")) == setups
+
+
+@looped
+async def test_a_late_answer_is_never_heard(tmp_path):
+    async with town(tmp_path, setup_ms=[450, 450]) as place:
+        # an answer takes 450 ms, an allocation may take 400: each node answers what nobody waits for
+        message, problem = await place.ask(limit_ms=1200)
+        assert message.status == 503 and len(place.rows("setup")) == 3
+        await until(lambda: len(place.rows("end")) == 3)
+        driver = place.fronts[0].driver
+        assert not driver.plays and driver.counts["played"] == 0 and driver.counts["declined"] == 1
+
+
+@looped
+async def test_a_viewer_who_hangs_up_before_the_first_frame_leaves_nothing_behind(tmp_path):
+    async with town(tmp_path, setup_ms=[5000, 5000]) as place:
+        peer = await Peer.open(place.plan["fronts"][0]["port"], place.plan["fronts"][0]["address"])
+        await peer.send(place.request())
+        await until(lambda: place.rows("setup"))
+        peer.close()
+        await until(lambda: place.rows("end"))
+        assert place.rows("end")[0]["why"] == "cancelled"
+        await until(lambda: not place.fronts[0].driver.plays)
+        assert place.fronts[0].driver.counts["left"] == 1
+
+
+@looped
+async def test_a_node_gone_and_back_at_its_address_is_asked_over_a_fresh_connection(tmp_path):
+    async with town(tmp_path, nodes=1) as place:
+        assert (await place.ask())[0].status == 200
+        node = place.fronts[0].nodes.nodes["n000"]
+        await until(lambda: node.pool.idle)
+        place.fault("die")
+        await until(lambda: node.row.state == "gone" and not place.fronts[0].driver.plays)
+        place.fault("start")
+        await until(lambda: node.row.state == "serving" and node.row.started_ms)
+        assert not any(line.stale() for _, line in node.pool.idle)
+        await until(lambda: node.stream is not None)
+        asked, status = 0, 0
+        while status != 200:  # paced as cold: a declined viewer comes again
+            asked, status = asked + 1, (await place.ask())[0].status
+        assert len(place.rows("setup")) == 2 and asked < 500
+
+
+@looped
+async def test_plays_of_a_killed_front_are_resumed_by_the_next_one_on_its_port(tmp_path):
+    async with town(tmp_path) as place:
+        _, plan = await place.ask(viewer="one")
+        await place.ask(viewer="two")
+        await place.kill(place.fronts[0])
+        front = await place.front()
+        await until(lambda: front.driver.counts["resumed"] == 2)
+        assert (await place.segment(plan)).status == 200
+        play = next(iter(front.driver.plays))
+        front.driver.module.out.append(("rung", play, 0))  # whatever the module answers next reaches the node
+        front.driver.hear("wake", -9)
+        await until(lambda: [row for row in place.rows("rung") if row["play"] == play])
+
+
+@looped
+async def test_two_hundred_set_ups_in_one_turn_get_an_answer_each(tmp_path):
+    async with town(tmp_path, TwoDrawn) as place:
+        replies = await asyncio.gather(*[place.pool.fetch(place.request(viewer=f"v{i}"), 20)
+                                         for i in range(200)])
+        statuses = [reply.message.status for reply in replies]
+        assert set(statuses) <= {200, 503} and statuses.count(200) >= 100
+        plays = [row["play"] for row in place.rows("setup")]
+        assert len(plays) == len(set(plays)) and not place.fronts[0].driver.counts["guarded"]
+
+
+@looped
+async def test_the_list_goes_and_comes_back_and_a_gap_is_closed_by_a_whole_list(tmp_path):
+    async with town(tmp_path) as place:
+        heard = []
+        driver, follower = place.fronts[0].driver, place.fronts[0].follower
+        driver.module.listed, inner = lambda now, how, rows: heard.append(how) or inner(now, how, rows), \
+            driver.module.listed
+        place.fleet.fault("list", "down", 1)
+        await until(lambda: heard == ["failed"])
+        assert (await place.ask())[0].status == 200  # goes on with what it has
+        place.fault("drain", nodes=["n000"])
+        place.fleet.fault("list", "down", 0)
+        await until(lambda: "whole" in heard or "changes" in heard)
+        await until(lambda: follower.rows["n000"].state == "draining")
+        heard.clear()
+        place.fleet.list.version += 5  # versions that nobody was sent
+        place.fault("drain", 0, nodes=["n000"])
+        await until(lambda: "whole" in heard and follower.rows["n000"].state == "serving")
+
+
+@looped
+async def test_peers_hear_each_other_and_nobody_else(tmp_path):
+    heard = []
+
+    class Talker(TwoDrawn):
+        def told(self, now, peer, body):
+            heard.append((self.card["own_index"], peer, body))
+            return ()
+
+        def wake(self, now, label):
+            return [("tell", None, b"x" * label)]
+
+    async with town(tmp_path, Talker, fronts=2) as place:
+        other = await place.front(Talker, index=1)
+        stranger, _ = await asyncio.get_running_loop().create_datagram_endpoint(
+            asyncio.DatagramProtocol, local_addr=("127.0.0.1", 0))
+        stranger.sendto(b"forged", tuple(place.plan["relay"]["fronts"]["0"]))
+        other.driver.hear("wake", 257)  # too long: not sent
+        other.driver.hear("wake", 256)
+        await until(lambda: heard)
+        stranger.close()
+        assert heard == [(0, 1, b"x" * 256)]
+
+
+def test_the_modules_clock_never_goes_back():
+    times = iter([5.0, 4.0, 5.00009, 5.0001, 1.0])
+    clock = Clock(lambda: next(times))
+    assert [clock.now() for _ in range(5)] == [50_000, 50_000, 50_000, 50_001, 50_001]
--- /dev/null
+++ b/tests/settings/test_settings.py
@@ -0,0 +1,105 @@
+"""The operator's file: what is taken, what is refused, and where each complaint points."""
+
+import pytest
+
+from curlewhall.settings import WrongFile, load, parse, rate_card
+
+
+@pytest.fixture
+def sound(tmp_path):
+    key = tmp_path / "key"
+    key.touch(mode=0o600)
+    key.write_bytes(b"k" * 32)
+    return f'''identity {{ name: "front-a" index: 0 fronts: 2 zone: "north" }}
+listen {{ address: "127.0.0.1" port: 8080 }}
+list_service {{ address: "127.0.0.1" port: 8081 }}
+peer {{ index: 1 address: "127.0.0.2" port: 8082 }}
+product {{
+  name: "dear" importance: 2 first_frame_target_ms: 1000 time_limit_ms: 3000
+  idempotency: SIDE_EFFECT floor: 1 scale: 1.2
+}}
+product {{ name: "plain" importance: 1 first_frame_target_ms: 1000 time_limit_ms: 5000 idempotency: PURE }}
+ladder {{ rung_kb: [200, 450, 900] worth: [0.2, 0.5, 1] }}
+fleet {{ kind {{ name: "b" streams: 40 }} zone: "north" places: 4 racks: 2 uplink_kb: 9e3 link_unit_kb: 3e3 }}
+reports {{ how: INLINE told_late_ms: 700 }}
+permissions {{ max_allocations: 3 }}
+rules {{ drain_grace_ms: 1000 fall_ms: 1000 overload_factor: 4 start_capacity: 0.4 warm_within_ms: 12000 }}
+tokens {{ key_file: "{key}" }}
+'''
+
+
+def test_a_sound_file_becomes_the_rate_card_in_the_modules_words_and_tenths(sound):
+    card = rate_card(parse(sound))
+    assert card["products"][0] == {"name": "dear", "importance": 2.0, "idempotency": "side_effect",
+                                   "first_frame_target": 10_000, "time_limit": 30_000}
+    assert (card["specifics.floor_by_class"], card["specifics.highest_rung"]) == ([1, 0], [2, 2])
+    assert (card["rules.warm_within"], card["report.how"], card["fronts"]) == (120_000, "inline", 2)
+    assert "rules.look_back" not in card
+
+
+def test_the_rate_card_starts_the_module(sound):
+    from curlewhall.policy import Front
+    assert Front(0, 1, rate_card(parse(sound))).listed(0, "whole", []) == []
+
+
+@pytest.mark.parametrize(("old", "new", "line", "column", "field", "words"), [
+    ("port: 8080", "port: 99999", 2, 37, "listen.port", "found 99999, expected 1 to 65535"),
+    ('"127.0.0.1" port: 8080', '"localhost" port: 8080', 2, 19, "listen.address", "an IPv4 or IPv6 address"),
+    ("floor: 1", "floor: 7", 7, 35, "product[0].floor", "found 7, expected its highest rung"),
+    ('name: "plain"', 'name: "dear"', 9, 17, "product[1].name", "a value not used before"),
+    ("importance: 1 ", "", 9, 9, "product[1].importance", "found nothing"),
+    ("[200, 450, 900]", "[200, 900, 450]", 10, 30, "ladder.rung_kb[2]", "more than 900"),
+    ("[0.2, 0.5, 1]", "[0.2, 0.5]", 10, 43, "ladder.worth", "one for each rung (3)"),
+    ('zone: "north" }', 'zone: "south" }', 1, 53, "identity.zone", "one of fleet.zone"),
+    ("index: 0 fronts: 2", "index: 2 fronts: 2", 1, 35, "identity.index", "less than identity.fronts"),
+    ("first_frame_target_ms: 1000 time_limit_ms: 3000", "first_frame_target_ms: 4000 time_limit_ms: 3000",
+     6, 53, "product[0].first_frame_target_ms", "the time limit (3000) at most"),
+    ("start_capacity: 0.4", "start_capacity: 0", 14, 79, "rules.start_capacity", "0.001 to 1"),
+    ("warm_within_ms: 12000", "warm_within_ms: 12000 look_back_ms: 9", 14, 119, "rules.look_back_ms",
+     "together, or none of them"),
+    ("index: 1 address", "index: 0 address", 4, 15, "peer[0].index", "another front's index"),
+    ("reports { how: INLINE told_late_ms: 700 }", "", 1, 1, "reports", "a group reports"),
+    ("index: 0 ", "indx: 0 ", 1, 28, "", 'has no field named "indx"'),
+    ("index: 0 ", 'index: "0" ', 1, 35, "", "Couldn't parse integer"),
+    ("how: INLINE", "how: SOMEHOW", 12, 16, "", "SOMEHOW"),
+    ("}\ntokens", "\ntokens", 15, 1, "", ""),
+])
+def test_a_wrong_file_is_refused_with_its_place(sound, old, new, line, column, field, words):
+    assert old in sound
+    with pytest.raises(WrongFile) as caught:
+        parse(sound.replace(old, new, 1), "f")
+    complaint = caught.value.complaints[0]
+    assert (complaint.line, complaint.where) == (line, field) and words in str(complaint)
+    assert complaint.column == column or not field
+
+
+def test_all_complaints_are_told_at_once(sound):
+    with pytest.raises(WrongFile) as caught:
+        parse(sound.replace("8080", "0").replace("floor: 1", "floor: 9").replace("0.4", "4"))
+    assert [c.line for c in caught.value.complaints] == [2, 7, 14]
+
+
+@pytest.mark.parametrize(("mode", "size", "words"), [
+    (0o644, 32, "no access but the owner's"), (0o600, 31, "32 bytes at least"), (None, 0, "a file that can")])
+def test_a_key_that_others_can_read_or_guess_is_refused(sound, tmp_path, mode, size, words):
+    key = tmp_path / "key"
+    if mode is None:
+        key.unlink()
+    else:
+        key.chmod(mode)
+        key.write_bytes(b"k" * size)
+    with pytest.raises(WrongFile, match=words):
+        parse(sound)
+
+
+def test_bytes_that_are_no_text_are_refused_with_their_place(tmp_path):
+    path = tmp_path / "f"
+    path.write_bytes(b'identity {\n name: "\xff" }')
+    with pytest.raises(WrongFile, match="line 2, column 9: found byte 0xff, expected text in UTF-8"):
+        load(path)
+
+
+def test_a_byte_order_mark_is_passed_over(sound, tmp_path):
+    path = tmp_path / "f"
+    path.write_bytes(b"\xef\xbb\xbf" + sound.encode())
+    assert load(path).identity.name == "front-a"
