--- a/curlewhall/cli/main.py
+++ b/curlewhall/cli/main.py
@@ -113,3 +113,18 @@
             click.echo("  " + json.dumps(row))
     holds = all(claim["holds"] for claim in result.report["claims"].values())
     sys.exit(0 if holds and not result.broken else 1)
+
+
+@main.command()
+@click.option("--seconds", type=click.FloatRange(4, 600), default=12.0, show_default=True)
+@click.option("--seed", type=int, default=1, show_default=True)
+def demo(seconds: float, seed: int) -> None:
+    """Show a small fleet of stand-ins with two fronts and viewers; a node dies and comes back."""
+    from curlewhall.drills.demo import demo as show
+    from curlewhall.drills.fleet import Failed
+
+    try:
+        sys.exit(show(seconds, seed, Console()))
+    except Failed as err:
+        click.echo(str(err), err=True)
+        sys.exit(1)
