--- a/bench/front.py
+++ b/bench/front.py
@@ -21,7 +21,8 @@
 
 RIG = str(Path(__file__).with_name("rig.py"))
 CORES = sorted(os.sched_getaffinity(0))
-POLICIES = {"real module": "curlewhall.policy:Front", "decides nothing": "curlewhall.drills.baselines:Nothing"}
+POLICIES = {"real module": "curlewhall.policy:Front",
+            "decides nothing": "curlewhall.drills.baselines:Nothing"}
 
 
 @contextmanager
@@ -52,7 +53,8 @@
 
 
 def serve(folder: Path, policy: str):
-    return process(["-m", "curlewhall", "serve", str(folder / "front.textproto"), "--policy", policy], 1, folder, "")
+    return process(["-m", "curlewhall", "serve", str(folder / "front.textproto"), "--policy", policy], 1,
+                   folder, "")
 
 
 def listening(plan: dict, folder: Path) -> None:
@@ -108,9 +110,14 @@
             return {"nodes": count, "held": held, "bytes": (rss().rss - before) / max(1, held)}
 
 
+HEAD = ("nodes", "way", "load", "set-ups/s", "p50 ms", "p99 ms", "p99.9 ms", "front's core",
+        "over straight, p99")
+NOTE = """Stand-in nodes that answer at once, all processes on one machine: ratios within one run count, not the
+times themselves. The "most" rows are a closed loop of 64 requests, the others open loops on schedule."""
+
+
 def table(results: list[dict], held: dict) -> str:
-    rows = ["| nodes | way | load | set-ups/s | p50 ms | p99 ms | p99.9 ms | front's core | over straight, p99 |",
-            "| --- | --- | --- | --- | --- | --- | --- | --- | --- |"]
+    rows = [f"| {' | '.join(HEAD)} |", "|" + " --- |" * len(HEAD)]
     for result in results:
         for key, found in result.items():
             if key == "nodes":
@@ -121,10 +128,8 @@
             cpu = f"{found['cpu']:.0%}" if "cpu" in found else ""
             rows.append(f"| {result['nodes']} | {way} | {load} | {found['rate']:.0f} | {found['p50']:.2f} | "
                         f"{found['p99']:.2f} | {found['p99.9']:.2f} | {cpu} | {over} |")
-    rows += ["", f"Memory a held play: {held['bytes'] / 1000:.1f} kB ({held['held']} held, {held['nodes']} nodes).",
-             "", "Stand-in nodes that answer at once, all processes on one machine; ratios within one run count, "
-             "not the times themselves. The \"most\" rows are a closed loop of 64 requests, the others open loops."]
-    return "\n".join(rows) + "\n"
+    kept = f"Memory a held play: {held['bytes'] / 1000:.1f} kB ({held['held']} held, {held['nodes']} nodes)."
+    return "\n".join([*rows, "", kept, "", NOTE]) + "\n"
 
 
 def main() -> None:
--- a/bench/rig.py
+++ b/bench/rig.py
@@ -1,4 +1,5 @@
-"""What the measurements share: quick nodes that answer at once, an open-loop asker, processes on chosen cores.
+"""What the measurements share: quick nodes that answer at once, an open-loop asker, processes on chosen
+cores.
 
     python bench/rig.py nodes PLAN.json      nodes and list service of a plan, answering at once
     python bench/rig.py load PLAN.json ...   asks on schedule or in a closed loop, prints one line of JSON
@@ -63,7 +64,8 @@
     timers = Timers(loop)
     for spec in plan["nodes"]:
         QuickNode(loop, timers, spec, plan["life"])
-    rows = [forms.Row(s["node"], s["address"], s["port"], s["place"], s["zone"], s["kind"]) for s in plan["nodes"]]
+    rows = [forms.Row(s["node"], s["address"], s["port"], s["place"], s["zone"], s["kind"])
+            for s in plan["nodes"]]
     titles = [forms.Title(**title) for title in plan["titles"]]
     ListService(loop, timers, plan, rows, titles, Writer(os.devnull)).start()
     print("ready", flush=True)
@@ -86,7 +88,8 @@
             facts = forms.Facts(f"p{os.getpid()}-{i}", 0, "plain", "", "v", titles[0], 3, 1)
             return pool, request_bytes("POST", "/v1/plays", pool.host, forms.encode(
                 forms.SetUp("nobody", facts, 3000.0)))
-        return pool, request_bytes("GET", f"/play/{titles[i % len(titles)]}?product=plain&viewer=v{i}", pool.host)
+        return pool, request_bytes("GET", f"/play/{titles[i % len(titles)]}?product=plain&viewer=v{i}",
+                                   pool.host)
 
     def answered(reply, due: float) -> None:
         status = reply.message.status if reply.ending == "ok" else reply.ending
--- a/curlewhall/dash/manifest.py
+++ b/curlewhall/dash/manifest.py
@@ -4,7 +4,9 @@
 whatever node serves it; segments are numbered from 1 and equally long, on every node the same.
 """
 
+from functools import lru_cache
 from typing import NamedTuple
+from xml.sax.saxutils import escape
 
 from lxml import etree
 
@@ -14,6 +16,9 @@
 PARSER = etree.XMLParser(resolve_entities=False, no_network=True, dtd_validation=False, load_dtd=False)
 
 
+BASE, TOKEN = "\ue000", "\ue001"  # stand for what is filled in; of private use, so in no URL or token
+
+
 class Plan(NamedTuple):
     """What a player needs: where, with which token, which rungs, and how the segments lie in time."""
 
@@ -35,7 +40,21 @@
 
 
 def write(plan: Plan) -> bytes:
-    """The MPD as bytes of XML."""
+    """The MPD as bytes of XML. Plays differ in where and token alone, so the rest is made once for each
+    shape.
+    """
+    shape = template(tuple(plan.rungs), plan.segment, plan.length, plan.first)
+    return shape.replace(BASE.encode(), escape(plan.base).encode()).replace(
+        TOKEN.encode(), escape(plan.token, {'"': "&quot;"}).encode())
+
+
+@lru_cache(maxsize=256)
+def template(rungs: tuple[tuple[int, int], ...], segment: float, length: float | None, first: int) -> bytes:
+    """An MPD whose BaseURL and token are still to be filled in."""
+    return build(Plan(BASE, TOKEN, list(rungs), segment, length, first))
+
+
+def build(plan: Plan) -> bytes:
     mpd = etree.Element(f"{{{NS}}}MPD", nsmap={None: NS})
     mpd.set("profiles", PROFILE)
     mpd.set("minBufferTime", duration(plan.segment))
--- a/curlewhall/drills/breakers.py
+++ b/curlewhall/drills/breakers.py
@@ -6,11 +6,11 @@
 
 
 class Stalls(Front):
-    """Rule 1: stands still past the time limits of what it holds, once in forty plays."""
+    """Rule 1: stands still past the time limits of what it holds, at its tenth play."""
 
     def asked(self, now, play, *facts, **named):
         said = super().asked(now, play, *facts, **named)
-        if len(self.takes) == 10:
+        if self.takes.totals[-1] == 10:
             time.sleep(4.5)  # a computation that never ends would look like this from outside
         return said
 
--- a/curlewhall/drills/demo.py
+++ b/curlewhall/drills/demo.py
@@ -1,4 +1,6 @@
-"""A small fleet with two fronts and viewers, shown for some seconds: what a first look at the program gives."""
+"""A small fleet with two fronts and viewers, shown for some seconds: what a first look at the program
+gives.
+"""
 
 import json
 import tempfile
@@ -44,7 +46,8 @@
         plays = sum(row["plays"] for row in rows)
         named = {row["state"] for row in rows}
         colour = "green" if named == {"serving"} else "yellow"
-        nodes.add_row(spec["node"], spec["zone"], f"[{colour}]{'/'.join(sorted(named)) or '-'}[/]", str(plays),
+        nodes.add_row(spec["node"], spec["zone"], f"[{colour}]{'/'.join(sorted(named)) or '-'}[/]",
+                      str(plays),
                       "▇" * min(BAR, plays))
     return Group(fronts, nodes, f"{told}   {left:.0f} s left")
 
@@ -54,7 +57,8 @@
     with tempfile.TemporaryDirectory(prefix="curlewhall-demo-") as folder:
         plan = make_plan(seed, 6, 2, seconds, Path(folder))
         node = plan["nodes"][0]["node"]
-        steps = [(seconds * 0.35, node, "die", f"{node} dies"), (seconds * 0.6, node, "start", f"{node} is back")]
+        steps = [(seconds * 0.35, node, "die", f"{node} dies"),
+                 (seconds * 0.6, node, "start", f"{node} is back")]
         console.print("Starting 6 stand-in nodes, a list service, 2 fronts and their viewers on loopback ...")
         with Processes(plan) as processes:
             processes.start_crowd()
@@ -64,7 +68,8 @@
                     while steps and now >= steps[0][0]:
                         _, target, kind, told = steps.pop(0)
                         processes.fault(target, kind, 1)
-                    live.update(picture(plan, [state(front) for front in plan["fronts"]], seconds - now, told))
+                    live.update(picture(plan, [state(front) for front in plan["fronts"]], seconds - now,
+                                        told))
                     time.sleep(0.25)
             console.print("The last plays end ...")
             processes.crowd.wait(plan["crowd"]["after"] + 15)
--- a/curlewhall/policy.py
+++ b/curlewhall/policy.py
@@ -5,6 +5,7 @@
 Times are whole tenths of a millisecond. The design, and each departure from it, is told in `docs/design.md`.
 """
 
+from bisect import bisect_right
 from collections import deque
 from zlib import crc32
 
@@ -13,6 +14,30 @@
 NEVER = float("-inf")  # a time before all others
 
 
+class Changes:
+    """What is added from moment to moment, as running totals: what came since a moment is one subtraction.
+
+    Danger: thousands of plays in one batch or second. Changes of one moment are kept as one, and a question
+    costs a search, not a walk over all that came in the seconds before.
+    """
+
+    def __init__(self, kept):
+        self.kept, self.times, self.totals = kept, [NEVER], [0]
+
+    def add(self, now, more):
+        if self.times[-1] != now:
+            self.times.append(now)
+            self.totals.append(self.totals[-1])
+            half = len(self.times) // 2
+            if half > 64 and self.times[half] < now - self.kept:  # dropped by halves: cheap on the average
+                del self.times[:half], self.totals[:half]
+        self.totals[-1] += more
+
+    def since(self, when):
+        """The sum of what was added after `when`, no longer ago than is kept."""
+        return self.totals[-1] - self.totals[bisect_right(self.times, when) - 1]
+
+
 class Allocation:
     """One set-up at one node, from the choice of the node to its end."""
 
@@ -39,7 +64,7 @@
 
     def __init__(self, row):
         self.id, self.row, self.plays = row.node, row, {}
-        self.changes, self.starts = deque(), deque(maxlen=99)  # (time, kB a second), times of own allocations
+        self.changes, self.starts = Changes(10 * SECOND), deque(maxlen=99)  # kB a second, own allocations
         self.link = self.share = self.streams = 0
         self.heard, self.heard_at = 0, NEVER
         self.short_at = self.eased_at = self.full_at = self.cold_from = self.doubted_at = NEVER
@@ -50,7 +75,7 @@
     """The nodes that share an uplink."""
 
     def __init__(self):
-        self.nodes, self.link, self.changes = [], 1, deque()
+        self.nodes, self.link, self.changes = [], 1, Changes(10 * SECOND)
         self.heard, self.heard_at, self.short_at = 0, NEVER, NEVER
 
 
@@ -68,10 +93,11 @@
         self.middle, worth = (len(self.ladder) - 1) // 2, rate_card["specifics.level_worth"]
         self.best = max(range(len(worth)), key=lambda r: worth[r] / self.ladder[r])  # worth most for its rate
         self.plays, self.nodes, self.racks, self.cells = {}, {}, {}, {}
-        self.takes, self.further = deque(), deque()  # for the budget of further allocations
+        kept = max(rate_card["rules.fall"], rate_card.get("rules.look_back", 0))
+        self.takes, self.further = Changes(kept), deque()  # for the budget of further allocations
         self.wakes, self.labels, self.average = {}, 0, (NEVER, 0)
         self.out = [("wake", self.chance(2 * SECOND), 0)] if rate_card["report.how"] == "on_probe" else []
-        self.changes, self.links, self.part = deque(), 1, (NEVER, 1)
+        self.changes, self.links, self.part = Changes(10 * SECOND), 1, (NEVER, 1)
         self.chain = [(self.in_time, None), (self.rationed, self.again), (self.holding, self.health),
                       (self.streaming, None), (self.warming, None), (self.capping, None),
                       (self.fitting, None), (self.drawing, None), (self.shaping, None),
@@ -117,9 +143,7 @@
 
     def asked(self, now, play, product, customer, viewer, title, limit, first_place, places, top_rung,
               length, moved, again):
-        self.takes.append(now)
-        while self.takes[0] <= now - max(self.card["rules.fall"], self.card.get("rules.look_back", 0)):
-            self.takes.popleft()
+        self.takes.add(now, 1)
         if customer in self.customers and not again:
             self.customers[customer][1].append(now)
         ply = self.take(now, play, product, customer, viewer, title, limit, first_place, places, top_rung)
@@ -223,7 +247,7 @@
                 self.further.popleft()
             # Danger: the bench's window and this one may differ by a tick at either end, so the oldest
             # second of the takes is left out and one allocation is kept back.
-            takes = sum(t > since + SECOND for t in self.takes)
+            takes = self.takes.since(since + SECOND)
             if len(self.further) + 1 > self.card.get("rules.spare_allocations", 0) + share * takes:
                 return self.decline(ply)
         return PASS
@@ -277,7 +301,7 @@
         pace = 0.75 * self.card["rules.overload_factor"] * self.card["rules.start_capacity"] * window / warm
         # Danger: one set-up from each of a hundred fronts is a hundred. Where all plays of a window, twice
         # the even part since two are drawn, are more than a node bears, chance lets them through.
-        crowd = 2 * sum(at > now - window for at in self.takes) / self.own_part(now) / len(self.nodes)
+        crowd = 2 * self.takes.since(now - window) / self.own_part(now) / len(self.nodes)
         ply.nodes = [n for n in ply.nodes if (not n.broken and now - n.cold_from >= warm) or (
                      sum(at > now - window for at in n.starts) < max(1, int(pace * n.streams / self.fronts))
                      and self.chance(1000) * crowd < 1000 * pace * n.streams)]
@@ -381,12 +405,8 @@
         return sum(self.rate(p, p.rung) for p in plays.values())
 
     def change(self, now, node, kb):
-        # Danger: thousands of plays in one batch; changes of one moment are kept as one, old ones dropped.
         for changes in (node.changes, node.rack.changes, self.changes):
-            kept = changes.pop()[1] if changes and changes[-1][0] == now else 0
-            changes.append((now, kept + kb))
-            while changes[0][0] < now - 10 * SECOND:
-                changes.popleft()
+            changes.add(now, kb)
 
     def since(self, now, place, when):
         """What use of a node or rack has changed by since a report: own changes there, and others' all over.
@@ -394,7 +414,7 @@
         Danger: in a surge every front places into the same room before any report tells of it. The others are
         taken to have placed as this front has, each as much as its part of all plays, over the whole fleet.
         """
-        own, all_over = (sum(kb for at, kb in c if at > when) for c in (place.changes, self.changes))
+        own, all_over = place.changes.since(when), self.changes.since(when)
         return own + max(0, all_over) * (1 / self.own_part(now) - 1) * place.link / self.links
 
     def own_part(self, now):
@@ -439,7 +459,7 @@
         use = self.use(now, node)
         if use is not None:
             return max(use[0] / node.link, use[1] / node.share)
-        if self.average[0] != now:
+        if now - self.average[0] >= 100:  # 10 ms: little changes in a tick of the slowest driver met so far
             heard = [self.load(now, n) for n in self.nodes.values() if now - n.heard_at <= 5 * SECOND]
             self.average = now, (sum(heard) + 1) / (len(heard) + 2)  # two more, half full
         # Danger: an uplink that nobody reports sags. Unheard nodes of a rack told short keep the least out.
