--- a/bench/front.py
+++ b/bench/front.py
@@ -112,8 +112,8 @@
 
 HEAD = ("nodes", "way", "load", "set-ups/s", "p50 ms", "p99 ms", "p99.9 ms", "front's core",
         "over straight, p99")
-NOTE = """Stand-in nodes that answer at once, all processes on one machine: ratios within one run count, not the
-times themselves. The "most" rows are a closed loop of 64 requests, the others open loops on schedule."""
+NOTE = """Stand-in nodes that answer at once, all processes on one machine: ratios within one run count, not
+the times themselves. The "most" rows are a closed loop of 64 requests, the others open loops on schedule."""
 
 
 def table(results: list[dict], held: dict) -> str:
--- a/curlewhall/cli/main.py
+++ b/curlewhall/cli/main.py
@@ -37,7 +37,9 @@
 @click.argument("file", type=click.Path(dir_okay=False))
 @click.option("--policy", default=None, metavar="MODULE:CLASS",
               help="Another class with the interface of interface.Front, for comparison.")
-def serve(file: str, policy: str | None) -> None:
+@click.option("--mover", default=None, metavar="MODULE:CLASS",
+              help="Another class with the interface of moves.Mover, for comparison.")
+def serve(file: str, policy: str | None, mover: str | None) -> None:
     """Run a front in the foreground with the operator's FILE, until SIGTERM or SIGINT."""
     from curlewhall.front import serve as running
     from curlewhall.settings import front_pb2
@@ -46,7 +48,8 @@
     form = front_pb2.LogForm.Name(found.logs.form).lower()
     log = logs.make(form, found.logs.level or "info")
     try:
-        running.run(found, log, running.policy(policy) if policy else None)
+        running.run(found, log, running.policy(policy) if policy else None,
+                    running.policy(mover) if mover else None)
     except (OSError, ValueError) as err:
         click.echo(f"can't start: {err}", err=True)
         sys.exit(1)
@@ -73,11 +76,12 @@
 @click.option("--nodes", type=click.IntRange(3, 180), default=14, show_default=True)
 @click.option("--fronts", type=click.IntRange(1, 40), default=3, show_default=True)
 @click.option("--policy", default=None, metavar="MODULE:CLASS")
+@click.option("--mover", default=None, metavar="MODULE:CLASS", help="Another mover, for comparison.")
 @click.option("--trouble", multiple=True, metavar="NAME", help="Only these kinds of trouble, by name.")
 @click.option("--json", "out", type=click.Path(dir_okay=False), default=None, help="Write the result here.")
 @click.option("--keep", type=click.Path(file_okay=False), default=None,
               help="Leave plan, logs and records in this folder.")
-def drill(name, draw, seconds, nodes, fronts, policy, trouble, out, keep) -> None:
+def drill(name, draw, seconds, nodes, fronts, policy, mover, trouble, out, keep) -> None:
     """Play the bad day NAME on loopback and judge it from the sockets' records.
 
     Exit code 0: all rules kept and the drill's claims hold; 1: something broke; 2: the call was wrong.
@@ -90,10 +94,10 @@
     if name not in DRILLS:
         raise click.UsageError(f"no drill is called {name!r}; there are: {', '.join(DRILLS)}")
     try:
-        if policy:
-            named(policy)
-        day = Day(seconds, nodes, fronts, 1 if draw is None else draw, draw is not None, policy, trouble,
-                  keep)
+        for given in filter(None, (policy, mover)):
+            named(given)
+        seed = 1 if draw is None else draw
+        day = Day(seconds, nodes, fronts, seed, draw is not None, policy, mover, trouble, keep)
         began = time.monotonic()
         result = run(name, DRILLS[name], day, lambda text: console.print(text, style="dim", highlight=False))
     except ValueError as err:
--- a/curlewhall/dash/manifest.py
+++ b/curlewhall/dash/manifest.py
@@ -16,7 +16,7 @@
 PARSER = etree.XMLParser(resolve_entities=False, no_network=True, dtd_validation=False, load_dtd=False)
 
 
-BASE, TOKEN = "\ue000", "\ue001"  # stand for what is filled in; of private use, so in no URL or token
+BASE, TOKEN, PLACE = "\ue000", "\ue001", "\ue002"  # what is filled in; of private use, so in no URL
 
 
 class Plan(NamedTuple):
@@ -28,6 +28,7 @@
     segment: float  # seconds
     length: float | None  # seconds in all; None: not told
     first: int = 1  # number of the first segment
+    location: str = ""  # where the MPD is asked for anew (5.3.1.2, Location); "": where it came from
 
 
 class BadManifest(Exception):
@@ -43,15 +44,17 @@
     """The MPD as bytes of XML. Plays differ in where and token alone, so the rest is made once for each
     shape.
     """
-    shape = template(tuple(plan.rungs), plan.segment, plan.length, plan.first)
-    return shape.replace(BASE.encode(), escape(plan.base).encode()).replace(
-        TOKEN.encode(), escape(plan.token, {'"': "&quot;"}).encode())
+    shape = template(tuple(plan.rungs), plan.segment, plan.length, plan.first, bool(plan.location))
+    for sign, text in ((BASE, plan.base), (TOKEN, plan.token), (PLACE, plan.location)):
+        shape = shape.replace(sign.encode(), escape(text, {'"': "&quot;"}).encode())
+    return shape
 
 
 @lru_cache(maxsize=256)
-def template(rungs: tuple[tuple[int, int], ...], segment: float, length: float | None, first: int) -> bytes:
-    """An MPD whose BaseURL and token are still to be filled in."""
-    return build(Plan(BASE, TOKEN, list(rungs), segment, length, first))
+def template(rungs: tuple[tuple[int, int], ...], segment: float, length: float | None, first: int,
+             placed: bool) -> bytes:
+    """An MPD whose BaseURL, token and Location are still to be filled in."""
+    return build(Plan(BASE, TOKEN, list(rungs), segment, length, first, PLACE if placed else ""))
 
 
 def build(plan: Plan) -> bytes:
@@ -66,6 +69,8 @@
         mpd.set("type", "static")
         mpd.set("mediaPresentationDuration", duration(plan.length))
     etree.SubElement(mpd, f"{{{NS}}}BaseURL").text = plan.base
+    if plan.location:  # the schema's order: BaseURL, then Location
+        etree.SubElement(mpd, f"{{{NS}}}Location").text = plan.location
     period = etree.SubElement(mpd, f"{{{NS}}}Period", id="0", start="PT0S")
     rungs = etree.SubElement(period, f"{{{NS}}}AdaptationSet", id="0", contentType="video",
                              mimeType="video/mp4", segmentAlignment="true", startWithSAP="1")
@@ -93,6 +98,7 @@
         if not rungs or not token:
             raise BadManifest("no Representation or no token")
         return Plan(base, token, rungs, int(template.get("duration")) / int(template.get("timescale")),
-                    float(whole[2:-1]) if whole else None, int(template.get("startNumber", "1")))
+                    float(whole[2:-1]) if whole else None, int(template.get("startNumber", "1")),
+                    mpd.findtext(f"{{{NS}}}Location") or "")
     except (etree.XMLSyntaxError, TypeError, ValueError, AttributeError) as err:
         raise BadManifest(f"{type(err).__name__}: {err}") from None
--- a/curlewhall/drills/fleet.py
+++ b/curlewhall/drills/fleet.py
@@ -134,6 +134,7 @@
     file.rules.extra_per_request = share
     file.tokens.key_file, file.tokens.life_s = plan["key_file"], 600
     file.limits.answer_margin_ms = 100
+    file.moves.drain_within_ms = int(1000 * plan.get("drain_within", 8.0))
     file.logs.form, file.logs.level = front_pb2.JSON, "info"
     return text_format.MessageToString(file)
 
@@ -141,8 +142,10 @@
 class Processes:
     """The processes of a plan, and what is done to them. Used as a context: all are ended at its end."""
 
-    def __init__(self, plan: dict, policy: str | None = None) -> None:
-        self.plan, self.policy, self.folder = plan, policy, Path(plan["folder"])
+    def __init__(self, plan: dict, policy: str | None = None, mover: str | None = None) -> None:
+        self.plan, self.folder = plan, Path(plan["folder"])
+        self.named = [word for flag, name in (("--policy", policy), ("--mover", mover)) if name
+                      for word in (flag, name)]
         self.fronts: dict[str, subprocess.Popen] = {}
         self.fleet = self.crowd = None
         self.records = Writer(plan["records"]["drill"])
@@ -189,12 +192,11 @@
         raise Failed(f"{name} did not get ready:\n{text}")
 
     def start_front(self, name: str) -> None:
-        policy = ["--policy", self.policy] if self.policy else []
         path = self.folder / f"{name}.log"
         self.since = path.stat().st_size if path.exists() else 0
         self.records.write("drill", "started", front=name)
-        self.fronts[name] = self.spawn(name, ["curlewhall", "serve", str(self.folder / f"{name}.textproto"),
-                                              *policy])
+        file = str(self.folder / f"{name}.textproto")
+        self.fronts[name] = self.spawn(name, ["curlewhall", "serve", file, *self.named])
 
     def await_front(self, name: str) -> None:
         self.await_line(self.fronts[name], '"ready"', name)
--- a/curlewhall/drills/play.py
+++ b/curlewhall/drills/play.py
@@ -25,6 +25,7 @@
     steps: list[tuple]
     claims: dict[str, tuple[float, Callable[[dict, list], float]]]
     told: list[str]  # the troubles' names
+    figures: Callable[[list], dict] | None = None  # more of what the records tell, for the report
 
 
 class Day(NamedTuple):
@@ -36,6 +37,7 @@
     seed: int = 1
     drawn: bool = False
     policy: str | None = None
+    mover: str | None = None
     troubles: tuple[str, ...] = ()
     keep: str | None = None  # a folder to leave plans, logs and records in
 
@@ -53,7 +55,7 @@
         plan = make_plan(day.seed, day.nodes, day.fronts, day.seconds, folder)
         script = make(random.Random(f"{name} {day.seed}"), plan, day)
         tell(f"{name}: {', '.join(script.told) or 'no trouble'}")
-        with Processes(plan, day.policy) as processes:
+        with Processes(plan, day.policy, day.mover) as processes:
             processes.start_crowd()
             processes.await_line(processes.crowd, "", "crowd")
             began = time.monotonic()
@@ -76,7 +78,8 @@
             tally[row.rule] = tally.get(row.rule, 0) + 1
         report = {"drill": name, "seed": day.seed, "seconds": day.seconds, "nodes": day.nodes,
                   "fronts": day.fronts, "policy": day.policy or "curlewhall.policy:Front",
-                  "troubles": script.told, **counts, "broken": tally, "claims": claims}
+                  "mover": day.mover or "curlewhall.moves:Mover", "troubles": script.told, **counts,
+                  **(script.figures(rows) if script.figures else {}), "broken": tally, "claims": claims}
         return Result(report, broken)
     finally:
         if day.keep:
--- a/curlewhall/front/driver.py
+++ b/curlewhall/front/driver.py
@@ -33,7 +33,7 @@
     """A play: its request, its allocations by number, and what is in force."""
 
     __slots__ = ("facts", "title", "exchange", "limit", "rung", "number", "offset", "node", "out", "playing",
-                 "answered", "closed", "stash", "guard", "taken", "seen")
+                 "answered", "closed", "stash", "guard", "taken", "moved_from", "kept")
 
     def __init__(self, facts: Facts, title: Title, exchange: Exchange | None, limit: int, taken: int) -> None:
         self.facts, self.title, self.exchange, self.limit, self.taken = facts, title, exchange, limit, taken
@@ -43,7 +43,8 @@
         self.answered = self.closed = False
         self.stash: list = []  # what the node told of an allocation before its set-up's answer was read
         self.guard = None
-        self.seen = 0
+        self.moved_from = ""  # the play that this one goes on with, on another node
+        self.kept: tuple | None = None  # an answer whose viewer has yet to come for it
 
 
 class Driver:
@@ -55,9 +56,9 @@
         self.inbox: deque = deque()
         self.busy = False
         self.plays: dict[str, Held] = {}
-        self.viewers = self.nodes = self.peers = None
+        self.viewers = self.nodes = self.peers = self.moves = None
         self.counts = dict.fromkeys(("asked", "played", "declined", "failed", "left", "ended", "guarded",
-                                     "faults", "allocations", "resumed"), 0)
+                                     "faults", "allocations", "resumed", "moved"), 0)
         self.module = make(self.clock.now(), seed, card)
         self.verbs = {"allocate": self.allocate, "rung": self.set_rung, "decline": self.decline,
                       "fail": self.fail, "withdraw": self.withdraw, "move": self.move, "probe": self.probe,
@@ -110,6 +111,7 @@
         self.hear("resumed", facts.play, facts.product, facts.customer, facts.viewer, facts.title,
                   title.first_place, title.places, facts.top, None, node)
         self.hear("note", facts.play, 0, node, "rung", float(facts.rung))
+        self.moves.playing(held)
 
     def set_up_ended(self, held: Held, number: int, node: str, how: str, took: float, report: dict) -> None:
         """A set-up's exchange is over: `ok` with its first frame, or one of the other endings."""
@@ -131,9 +133,11 @@
         for kind in ("link_asked", "uplink_asked"):
             if kind in report:
                 self.hear("note", held.facts.play, number, node, kind, report[kind])
+                self.moves.report(node, kind, report[kind])
         if not held.answered:
             self.close(held, "played")
             self.viewers.play(held, number + held.offset)
+            self.moves.playing(held)
         stash, held.stash = held.stash, []
         for event in stash:
             self.nodes.event(node, event)
@@ -148,11 +152,14 @@
         self.log.info("play ended", play=play, allocation=number, node=held.node, how=how)
         self.hear("ended", play, number, held.node, how, True, self.clock.now() - held.taken, {})
         self.drop(held)
+        self.moves.ended(play)
 
     def noted(self, play: str, node: str, kind: str, value: float) -> None:
         held = self.plays.get(play)
         if held is not None and held.playing is not None:
             self.hear("note", play, held.playing, node, kind, value)
+            if kind != "delivered":
+                self.moves.report(node, kind, value)
 
     def left(self, held: Held) -> None:
         """The viewer hung up before its answer."""
@@ -252,6 +259,8 @@
         """The play has its answer, or needs none any more."""
         held.answered = True
         self.counts[what] += 1
+        if held.moved_from and what != "played":
+            self.moves.lost(held, what)
         if held.guard is not None:
             held.guard.cancel()
             held.guard = None
--- a/curlewhall/front/listing.py
+++ b/curlewhall/front/listing.py
@@ -25,6 +25,7 @@
         self.titles: dict[str, forms.Title] = {}
         self.version, self.tries = 0, 0
         self.lines, self.stream, self.silence, self.failing = forms.Lines(), None, None, False
+        self.drained: set[str] = set()  # by this front's operator, whatever the list says
 
     def start(self) -> None:
         """Believe the kept list, if there is one, until the service says more; then subscribe."""
@@ -81,13 +82,28 @@
         self.titles |= {title.title: title for title in listing.titles}
         self.version = listing.version
         self.driver.viewers.titles = self.titles
+        rows = [self.shown(row) for row in rows]
         now, unix = self.driver.clock.now(), int(time.time() * 1000)
         self.driver.nodes.listed(rows, whole=how != "changes")  # first: the module may allocate at once
         self.driver.listed(how, [module_row(row, now, unix) for row in rows])
+        self.driver.moves.listed([self.shown(row) for row in self.rows.values() if row.state != "gone"], now,
+                                 unix)
         self.driver.log.info("list", how=how, version=listing.version, rows=len(rows))
         if how != "old_copy":
             self.keep()
 
+    def shown(self, row: forms.Row) -> forms.Row:
+        """A line with the operator's own drains laid over it."""
+        if row.node in self.drained and row.state == "serving":
+            return forms.msgspec.structs.replace(row, state="draining")
+        return row
+
+    def drain(self, node: str, back: bool) -> None:
+        """Drain a node at this front, or call its drain back."""
+        (self.drained.discard if back else self.drained.add)(node)
+        if node in self.rows:
+            self.take(forms.Listing("changes", self.version, self.version, [self.rows[node]]), "changes")
+
     def keep(self) -> None:
         """Write what is known beside the old file and put it in its place: never half a list on disk."""
         if not self.kept:
--- a/curlewhall/front/nodes.py
+++ b/curlewhall/front/nodes.py
@@ -114,6 +114,16 @@
         """End what may run there; nothing is waited for."""
         self.say(name, "DELETE", f"/v1/plays/{play}?number={number}&why={why}", b"")
 
+    def end_surely(self, name: str, play: str, number: int, done) -> None:
+        """End a play there and tell `done` what the node said: 204, or 404 for one not held; else 0."""
+        node = self.nodes.get(name)
+        if node is None:
+            self.loop.call_soon(done, 0)
+            return
+        data = request_bytes("DELETE", f"/v1/plays/{play}?number={number}&why=moved", node.pool.host)
+        node.pool.ask(data, END_LIMIT, lambda reply: done(
+            reply.message.status if reply.ending == "ok" else 0))
+
     def say(self, name: str, method: str, target: str, body: bytes) -> None:
         node = self.nodes.get(name)
         if node is not None:
@@ -196,6 +206,8 @@
             return
         elif event.kind == "ended":
             self.driver.play_ended(event.play, event.how if event.how in ("ok", "broken") else "withdrawn")
+        elif event.kind == "buffer":
+            self.driver.moves.buffer(event.play, event.value)
         elif event.kind in NOTES:
             self.driver.noted(event.play, name, event.kind, event.value)
 
--- a/curlewhall/front/problems.py
+++ b/curlewhall/front/problems.py
@@ -6,15 +6,16 @@
 
 KINDS = {
     400: ("bad-request", "The request can't be understood"),
-    404: ("unknown-title", "No such title is listed"),
+    403: ("not-from-here", "This is not taken from where it came"),
+    404: ("unknown", "No such thing is listed"),
     405: ("method", "Only GET is answered here"),
     502: ("failed", "The play could not be set up; whether it ran is not known"),
     503: ("declined", "There is no room now; nothing was set up"),
 }
 
 
-def answer(exchange: Exchange, status: int, detail: str, away: int = 0, **more) -> None:
-    """Answer with a problem document. `away`: for how long to stay away, in tenths of a millisecond."""
+def document(status: int, detail: str, away: int = 0, **more) -> tuple[int, dict[str, str], bytes]:
+    """Status, fields and body. `away`: for how long to stay away, in tenths of a millisecond."""
     kind, title = KINDS[status]
     fields = {"content-type": "application/problem+json", "cache-control": "no-store"}
     if away:
@@ -23,4 +24,9 @@
     if status == 405:
         fields["allow"] = "GET"
     body = {"type": f"urn:curlewhall:problem:{kind}", "title": title, "status": status, "detail": detail}
-    exchange.reply(status, fields, msgspec.json.encode(body | more))
+    return status, fields, msgspec.json.encode(body | more)
+
+
+def answer(exchange: Exchange, status: int, detail: str, away: int = 0, **more) -> None:
+    """Answer with a problem document."""
+    exchange.reply(*document(status, detail, away, **more))
--- a/curlewhall/front/serve.py
+++ b/curlewhall/front/serve.py
@@ -10,6 +10,8 @@
 import uvloop
 
 from curlewhall.dash.tokens import read_key
+from curlewhall.moves import Mover
+from curlewhall.moves.run import Moves
 from curlewhall.settings import rate_card
 from curlewhall.settings.front_pb2 import FrontFile
 from curlewhall.wire.client import Pool
@@ -55,7 +57,8 @@
     them.
     """
 
-    def __init__(self, file: FrontFile, log, make: Callable | None = None) -> None:
+    def __init__(self, file: FrontFile, log, make: Callable | None = None,
+                 mover: Callable | None = None) -> None:
         self.file, self.log = file, log
         self.loop = asyncio.get_running_loop()
         self.timers = Timers(self.loop)
@@ -64,8 +67,10 @@
         seed = file.identity.seed or boot
         self.driver = Driver(make or policy(POLICY), seed, card, self.timers, log)
         margin = file.limits.answer_margin_ms if file.limits.HasField("answer_margin_ms") else 100
-        life = file.tokens.life_s or 3600
-        self.viewers = Viewers(self.driver, name, read_key(file.tokens.key_file), life, 10 * margin, boot)
+        where = file.listen
+        url = where.public_url.rstrip("/") or f"http://{where.address}:{where.port}"
+        key, life = read_key(file.tokens.key_file), file.tokens.life_s or 3600
+        self.viewers = Viewers(self.driver, name, url, key, life, 10 * margin, boot)
         may = file.permissions
         connect = (may.connect_time_limit_ms or 250) / 1000
         self.nodes = Nodes(self.driver, self.loop, self.timers, name, connect,
@@ -74,6 +79,10 @@
         self.driver.viewers, self.driver.nodes, self.driver.peers = self.viewers, self.nodes, self.peers
         service = Pool(self.loop, self.timers, file.list_service.address, file.list_service.port)
         self.follower = Follower(self.driver, service, name, file.list_service.kept_file)
+        self.viewers.follower = self.follower
+        drain_within = 10 * (file.moves.drain_within_ms or 30_000)
+        self.driver.moves = Moves(self.driver, self.timers, (mover or Mover)(
+            self.driver.clock.now(), card, drain_within))
         self.server = None
 
     async def start(self) -> None:
@@ -105,8 +114,8 @@
             self.peers.transport.close()
 
 
-async def until_told(file: FrontFile, log, make: Callable | None) -> None:
-    front = FrontProcess(file, log, make)
+async def until_told(file: FrontFile, log, make: Callable | None, mover: Callable | None) -> None:
+    front = FrontProcess(file, log, make, mover)
     told = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         front.loop.add_signal_handler(number, told.set)
@@ -116,7 +125,7 @@
     await front.stop()
 
 
-def run(file: FrontFile, log, make: Callable | None = None) -> None:
+def run(file: FrontFile, log, make: Callable | None = None, mover: Callable | None = None) -> None:
     """Serve until SIGTERM or SIGINT. `OSError` where a socket can't be had."""
     with contextlib.suppress(KeyboardInterrupt):
-        uvloop.run(until_told(file, log, make))
+        uvloop.run(until_told(file, log, make, mover))
--- a/curlewhall/front/viewers.py
+++ b/curlewhall/front/viewers.py
@@ -2,7 +2,7 @@
 
 import time
 from collections import OrderedDict
-from urllib.parse import parse_qsl, unquote, urlsplit
+from urllib.parse import parse_qsl, quote, unquote, urlencode, urlsplit
 
 import msgspec
 
@@ -24,17 +24,22 @@
 class Viewers:
     """Answers requests. `titles` is kept up by the list's follower."""
 
-    def __init__(self, driver: Driver, front: str, key: bytes, life: float, margin: int, boot: int) -> None:
+    def __init__(self, driver: Driver, front: str, url: str, key: bytes, life: float, margin: int,
+                 boot: int) -> None:
+        self.url = url
         self.driver, self.front, self.key, self.life, self.margin = driver, front, key, life, margin
         self.boot, self.count = boot, 0
         self.titles: dict[str, Title] = {}
         self.products = {p["name"]: (i, p) for i, p in enumerate(driver.card["products"])}
         self.away: OrderedDict[str, str] = OrderedDict()  # play moved -> its viewer
-        self.open = True
+        self.successors: OrderedDict[str, Held] = OrderedDict()  # play moved -> what goes on with it
+        self.open, self.follower = True, None
 
     def handle(self, exchange: Exchange) -> None:
         url = urlsplit(exchange.request.target)
-        if exchange.request.method != "GET":
+        if url.path == "/v1/drain" and exchange.request.method == "POST":
+            self.drain(exchange, dict(parse_qsl(url.query)))
+        elif exchange.request.method != "GET":
             problems.answer(exchange, 405, f"not {exchange.request.method}")
         elif url.path.startswith("/play/"):
             try:
@@ -43,9 +48,23 @@
                 problems.answer(exchange, 400, str(err))
         elif url.path == "/v1/state":
             exchange.reply(200, {"content-type": "application/json"}, msgspec.json.encode(self.state()))
+        elif url.path == "/v1/moves":
+            exchange.reply(200, {"content-type": "application/json"}, msgspec.json.encode(
+                self.driver.moves.progress()))
         else:
             problems.answer(exchange, 404, "viewers ask for /play/TITLE")
 
+    def drain(self, exchange: Exchange, given: dict[str, str]) -> None:
+        """An operator's drain of a node at this front, or its calling back; from this machine only."""
+        if not exchange.line.peer[0].startswith("127.") and exchange.line.peer[0] != "::1":
+            problems.answer(exchange, 403, "drains are told from this machine")
+        elif given.get("node", "") not in self.driver.nodes.nodes:
+            problems.answer(exchange, 404, f"node {given.get('node', '')!r} is not in the list")
+        else:
+            self.follower.drain(given["node"], back=given.get("back", "0") == "1")
+            exchange.reply(200, {"content-type": "application/json"}, msgspec.json.encode(
+                self.driver.moves.progress()))
+
     def take(self, exchange: Exchange, name: str, query: str) -> None:
         given = dict(parse_qsl(query, keep_blank_values=True, max_num_fields=16))
         title = self.titles.get(name)
@@ -63,6 +82,8 @@
         top = number(given, "top", len(card["specifics.rung_kb"]) - 1, 0, 1000)
         limit = 10 * number(given, "limit_ms", terms["time_limit"] // 10, 1, terms["time_limit"] // 10)
         moved = given.get("moved", "")
+        if moved and self.come_for(exchange, moved, viewer):
+            return
         if moved and self.away.pop(moved, None) != viewer:
             moved = ""
         if not self.open:
@@ -82,6 +103,45 @@
         exchange.gone = lambda: self.driver.left(held)
         self.driver.asked(held, again=given.get("again", "0") == "1" or bool(moved), moved=bool(moved))
 
+    def come_for(self, exchange: Exchange, old: str, viewer: str) -> bool:
+        """Whether the viewer of a play that was moved is answered by what came of the move.
+
+        It is not where nothing is known of one, or where the move came to nothing: then it asks like others.
+        """
+        held = self.successors.get(old)
+        if held is None or held.facts.viewer != viewer:
+            return False
+        del self.successors[old]
+        if held.kept is not None:
+            if held.kept[0] != 200 or held.playing is None:
+                return False
+            exchange.reply(*held.kept)
+            held.kept = None
+        else:
+            held.exchange = exchange
+            exchange.gone = lambda: self.driver.left(held)
+        return True
+
+    def next_facts(self, facts: Facts) -> Facts:
+        """A moved play goes on under a new id, as a viewer that comes again does."""
+        self.count += 1
+        return msgspec.structs.replace(facts, play=f"{self.front}-{self.boot:x}-{self.count:x}", number=0,
+                                       rung=facts.floor)
+
+    def expect(self, old: str, held: Held) -> None:
+        """The viewer of `old` will come for the answer of `held`."""
+        self.successors[old] = held
+        while len(self.successors) > MOVED:
+            self.successors.popitem(last=False)
+
+    def give(self, held: Held, answer: tuple[int, dict[str, str], bytes]) -> None:
+        """Answer the viewer, or keep the answer until it comes."""
+        exchange, held.exchange = held.exchange, None
+        if exchange is not None:
+            exchange.reply(*answer)
+        else:
+            held.kept = answer
+
     def play(self, held: Held, number: int) -> None:
         """The manifest: the play's node, its token, the rungs that it may use."""
         card, facts = self.driver.card, held.facts
@@ -94,16 +154,21 @@
         plan = manifest.Plan(f"http://{address}/s/{facts.play}/{number}/", token,
                              [(rung, int(ladder[rung] * scale * 8000))
                               for rung in range(facts.floor, top + 1)],
-                             SEGMENT, held.title.length_s)
-        held.exchange.reply(200, {"content-type": "application/dash+xml", "cache-control": "no-store",
-                                  "curlewhall-play": facts.play}, manifest.write(plan))
-        held.exchange = None
+                             SEGMENT, held.title.length_s, location=self.location(facts))
+        self.give(held, (200, {"content-type": "application/dash+xml", "cache-control": "no-store",
+                               "curlewhall-play": facts.play}, manifest.write(plan)))
+
+    def location(self, facts: Facts) -> str:
+        """Where a player asks for the manifest anew, as it does when its node says that the play has gone."""
+        query = {"product": facts.product, "viewer": facts.viewer, "customer": facts.customer,
+                 "top": facts.top, "moved": facts.play, "again": 1}
+        return f"{self.url}/play/{quote(facts.title, safe='')}?{urlencode(query)}"
 
     def decline(self, held: Held, away: int) -> None:
-        problems.answer(held.exchange, 503, "No holder of the title has room", away, play=held.facts.play)
+        self.give(held, problems.document(503, "No holder of the title has room", away, play=held.facts.play))
 
     def fail(self, held: Held, why: str) -> None:
-        problems.answer(held.exchange, 502, why, play=held.facts.play)
+        self.give(held, problems.document(502, why, play=held.facts.play))
 
     def moved(self, held: Held) -> None:
         self.away[held.facts.play] = held.facts.viewer
--- a/curlewhall/standins/crowd.py
+++ b/curlewhall/standins/crowd.py
@@ -19,7 +19,7 @@
 import msgspec
 import uvloop
 
-from curlewhall.dash import cmsd, manifest
+from curlewhall.dash import cmcd, cmsd, manifest
 from curlewhall.records import Writer
 from curlewhall.wire.client import Pool
 from curlewhall.wire.http import request_bytes
@@ -106,17 +106,28 @@
 
     async def ask(self, who: dict, number: int, front: int, again: bool):
         """One try: the plan of the manifest, or None, and the play's id."""
+        product = who["product"]
+        target = (f"/play/{quote(who['title'])}?product={product['name']}&viewer={who['viewer']}"
+                  f"&customer={who['customer']}&top={who['top']}&limit_ms={product['limit_ms']}&again={int(again)}")
+        patience = None if who["patience"] is None or number else who["patience"] * product["limit_ms"] / 1000
+        return await self.request(who, f"{who['viewer']}/{number}", front, target, patience, number == 0)
+
+    async def follow(self, who: dict, number: int, moves: int, plan, play: str):
+        """Ask for a moved play's manifest anew, where the old one says (MPD Location)."""
+        host, _, path = plan.location.partition("://")[2].partition("/")
+        front = next(i for i, pool in enumerate(self.fronts) if pool.host == host)
+        target = f"/{path}&limit_ms={who['product']['limit_ms']}"
+        return await self.request(who, f"{who['viewer']}/{number}+{moves}", front, target, None, False)
+
+    async def request(self, who: dict, ask: str, front: int, target: str, patience: float | None,
+                      first: bool):
         product, pool, name = who["product"], self.fronts[front], self.plan["fronts"][front]["name"]
         limit = product["limit_ms"]
-        target = (f"/play/{quote(who['title'])}?product={product['name']}&viewer={who['viewer']}"
-                  f"&customer={who['customer']}&top={who['top']}&limit_ms={limit}&again={int(again)}")
-        ask = f"{who['viewer']}/{number}"
         facts = {"ask": ask, "front": name, "product": product["name"], "importance": product["importance"],
-                 "limit": 10 * limit, "target": 10 * product["target_ms"], "first": number == 0,
+                 "limit": 10 * limit, "target": 10 * product["target_ms"], "first": first,
                  "viewer": who["viewer"], "title": who["title"], "customer": who["customer"],
                  "wanted": who["life"], "top": who["top"]}
         self.records.write("viewer", "ask", **facts)
-        patience = None if who["patience"] is None or number else who["patience"] * limit / 1000
         reply = await pool.fetch(request_bytes("GET", target, pool.host), patience or limit / 1000 + GRACE)
         if reply.ending == "ok":
             status, play, plan = reply.message.status, reply.message.headers.get("curlewhall-play", ""), None
@@ -148,14 +159,29 @@
         pool, path = self.pool(plan.base), "/" + plan.base.split("/", 3)[3]
         begin = self.loop.time()
         buffer, seen, stalled, worth, rung, why = 0.0, 0.0, 0.0, 0.0, plan.rungs[-1][0], "done"
-        wrong, segment, changes, last = 0, plan.first, 0, None
+        wrong, segment, changes, last, moves = 0, plan.first, 0, None, 0
         self.watching += 1
         try:
             while seen < left:
-                target = f"{path}seg/r{rung}/{segment}?t={plan.token}"
+                target = f"{path}seg/r{rung}/{segment}?t={plan.token}&{cmcd.query(buffer)}"
                 asked = self.loop.time()
                 reply = await pool.fetch(request_bytes("GET", target, pool.host), buffer + 5.0)
                 took = self.loop.time() - asked
+                if reply.ending == "ok" and reply.message.status == 410 and plan.location:
+                    # the play has gone from this node: the manifest is asked for anew, and goes on elsewhere
+                    follows, was = await self.follow(who, number, moves, plan, play), play
+                    gap = self.loop.time() - asked
+                    stalled += max(0.0, gap - buffer)
+                    self.records.write("viewer", "seam", ask=f"{who['viewer']}/{number}", play=was,
+                                       to=follows[1], gap=round(gap, 3), buffer=round(buffer, 3),
+                                       stalled=round(max(0.0, gap - buffer), 3))
+                    buffer, moves = max(0.0, buffer - gap), moves + 1
+                    if follows[0] is None:
+                        why = "lost by a move"
+                        break
+                    plan, play = follows
+                    pool, path = self.pool(plan.base), "/" + plan.base.split("/", 3)[3]
+                    continue
                 if reply.ending != "ok" or reply.message.status != 200:
                     why = reply.ending if reply.ending != "ok" else f"status {reply.message.status}"
                     stalled += max(0.0, took - buffer) if segment > plan.first else 0.0
@@ -192,7 +218,7 @@
             self.watching -= 1
             self.records.write("viewer", "watched", ask=f"{who['viewer']}/{number}", play=play, why=why,
                                seen=round(seen, 2), stalled=round(stalled, 3), worth=round(worth, 3),
-                               segments=segment - plan.first, wrong=wrong, changes=changes,
+                               segments=segment - plan.first, wrong=wrong, changes=changes, moves=moves,
                                wanted=round(left, 2), importance=who["product"]["importance"],
                                span=round(self.loop.time() - begin, 2))
         return seen
--- a/curlewhall/standins/node.py
+++ b/curlewhall/standins/node.py
@@ -9,7 +9,7 @@
 import time
 from urllib.parse import parse_qsl, urlsplit
 
-from curlewhall.dash import cmsd, tokens
+from curlewhall.dash import cmcd, cmsd, tokens
 from curlewhall.records import Writer
 from curlewhall.wire import forms
 from curlewhall.wire.server import Exchange, Server, listen
@@ -98,7 +98,7 @@
         elif method == "POST" and url.path == "/v1/plays":
             self.take(exchange)
         elif parts[0] == "s" and len(parts) >= 3:
-            self.viewer(exchange, parts[1:], query.get("t", ""))
+            self.viewer(exchange, parts[1:], query.get("t", ""), url.query)
         elif method == "PUT" and parts[:2] == ["v1", "plays"] and parts[3:] == ["rung"]:
             self.set_rung(exchange, parts[2])
         elif method == "DELETE" and parts[:2] == ["v1", "plays"] and len(parts) == 3:
@@ -206,7 +206,7 @@
                            product=play.facts.product)
         exchange.reply(204)
 
-    def viewer(self, exchange: Exchange, parts: list[str], token: str) -> None:
+    def viewer(self, exchange: Exchange, parts: list[str], token: str, query: str) -> None:
         """GET s/PLAY/NUMBER/seg/rR/N or POST s/PLAY/NUMBER/end, with the session's token."""
         try:
             session = tokens.check(token, self.key, self.name)
@@ -223,10 +223,17 @@
             exchange.reply(204)
             self.close(play, "ok")
         elif len(parts) == 5 and parts[2] == "seg" and parts[3][1:].isdigit() and parts[4].isdigit():
+            self.hear(play, dict(parse_qsl(query)).get("CMCD", ""))
             self.segment(exchange, play, int(parts[3][1:]), int(parts[4]))
         else:
             exchange.reply(404)
 
+    def hear(self, play: Play, told: str) -> None:
+        """What the viewer has in hand (CMCD `bl`, CTA-5004, in milliseconds) goes on to its front."""
+        seconds = cmcd.buffer(told)
+        if seconds is not None:
+            self.event(play.front, forms.Event("buffer", play.facts.play, play.facts.number, seconds))
+
     def segment(self, exchange: Exchange, play: Play, rung: int, number: int) -> None:
         """A segment, at the rung in force at most, over the time that the link's share makes of it."""
         play.timer.cancel()
--- a/curlewhall/wire/forms.py
+++ b/curlewhall/wire/forms.py
@@ -59,7 +59,7 @@
 
 
 class Event(msgspec.Struct, frozen=True, omit_defaults=True):
-    """A line of GET /v1/events?front=NAME. `kind`: hello, tick, ended, delivered, link_asked,
+    """A line of GET /v1/events?front=NAME. `kind`: hello, tick, ended, buffer, delivered, link_asked,
     uplink_asked.
     """
 
--- a/tests/front/test_driver.py
+++ b/tests/front/test_driver.py
@@ -40,7 +40,7 @@
         self.module, self.nodes, self.viewers = Script(), Script(), Script()
         log = logs.make("json", "error")
         self.driver = Driver(lambda *_: self.module, 1, {}, Timers(asyncio.get_running_loop()), log)
-        self.driver.nodes, self.driver.viewers = self.nodes, self.viewers
+        self.driver.nodes, self.driver.viewers, self.driver.moves = self.nodes, self.viewers, Script()
         self.nodes.says["set_up"] = lambda held, number, node, span: Out(
             lambda how: self.driver.set_up_ended(held, number, node, how, 0.01, {}))
         self.held = Held(Facts("p", 0, "plain", "", "v", "t", 2, 0), Title("t", 0, 3, 60), None,
