--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 .venv/ready: requirements.txt requirements-dev.txt
 	test -d .venv || $(PYTHON) -m venv .venv
 	.venv/bin/pip -q install -r requirements.txt -r requirements-dev.txt
+	.venv/bin/pip -q install --no-deps -e .
 	touch .venv/ready
 
 demo: .venv/ready
--- a/tests/front/test_moves.py
+++ b/tests/front/test_moves.py
@@ -129,3 +129,22 @@
         assert place.fronts[0].nodes.nodes[first].row.state == "serving"
         code, said = await command("nothing")
         assert code == 1 and "node 'nothing' is not in the list" in said
+
+
+@looped
+async def test_a_target_that_dies_with_the_first_segment_out_is_a_break_like_any_other(tmp_path):
+    async with town(tmp_path, TwoDrawn, nodes=3) as place:
+        _, plan = await place.ask()
+        first, = at(place)
+        place.fault("drain", nodes=[first])
+        driver = place.fronts[0].driver
+        await until(lambda: driver.counts["moved"] == 1)
+        moved = manifest.read((await follow(place, plan)).body)
+        target = at(place)[1]
+        segment = asyncio.ensure_future(place.segment(moved, 2))
+        await until(lambda: any(play.segments for play in place.fleet.nodes[target].plays.values()))
+        place.fault("die", nodes=[target])
+        assert await segment is None
+        await until(lambda: not driver.plays)
+        message = await follow(place, moved)  # its viewer comes again, to the third node
+        assert message.status == 200 and at(place)[2] not in (first, target)
