Module: a node's use reckoned once a moment; paid plays found after a kill are given back

Cause: several stages of the chain reckoned the same nodes anew; and a front that started anew after a kill set a paid play up again when its viewer came back, though the node still held it. Change: use of a node is kept until something changes; a paid play that the nodes' hello shows is answered to its own viewer with a fresh manifest, without a second set-up. Test with a killed front: one set-up.

--- a/curlewhall/front/driver.py
+++ b/curlewhall/front/driver.py
@@ -107,6 +107,7 @@
         held.answered, held.number, held.playing, held.offset, held.node = True, 0, 0, facts.number, node
         self.plays[facts.play] = held
         self.counts["resumed"] += 1
+        self.viewers.resumed(held)
         self.log.info("resumed", play=facts.play, node=node, rung=facts.rung)
         self.hear("resumed", facts.play, facts.product, facts.customer, facts.viewer, facts.title,
                   title.first_place, title.places, facts.top, None, node)
--- a/curlewhall/front/viewers.py
+++ b/curlewhall/front/viewers.py
@@ -33,6 +33,7 @@
         self.products = {p["name"]: (i, p) for i, p in enumerate(driver.card["products"])}
         self.away: OrderedDict[str, str] = OrderedDict()  # play moved -> its viewer
         self.successors: OrderedDict[str, Held] = OrderedDict()  # play moved -> what goes on with it
+        self.found: OrderedDict[tuple, list[Held]] = OrderedDict()  # (viewer, title, product) -> resumed
         self.open, self.follower = True, None
 
     def handle(self, exchange: Exchange) -> None:
@@ -89,6 +90,8 @@
         if not self.open:
             problems.answer(exchange, 503, "This front is leaving", away=10_000)
             return
+        if terms["idempotency"] != "pure" and self.adopt(exchange, viewer, name, product):
+            return
         self.count += 1
         now = self.driver.clock.now()
         floor = card["specifics.floor_by_class"][index]
@@ -103,6 +106,27 @@
         exchange.gone = lambda: self.driver.left(held)
         self.driver.asked(held, again=given.get("again", "0") == "1" or bool(moved), moved=bool(moved))
 
+    def adopt(self, exchange: Exchange, viewer: str, title: str, product: str) -> bool:
+        """Answer a viewer with the paid play that this front found at a node when it started anew.
+
+        Danger: the process before was killed with the set-up done and the answer not yet given, or given and
+        the viewer came again. A second set-up would be paid for twice.
+        """
+        for held in self.found.pop((viewer, title, product), ()):
+            if held.playing is not None and self.driver.plays.get(held.facts.play) is held:
+                held.exchange = exchange
+                self.driver.log.info("adopted", play=held.facts.play, node=held.node)
+                self.play(held, held.playing + held.offset)
+                return True
+        return False
+
+    def resumed(self, held: Held) -> None:
+        """A play found at a node: its viewer may come for it."""
+        facts = held.facts
+        self.found.setdefault((facts.viewer, facts.title, facts.product), []).append(held)
+        while len(self.found) > MOVED:
+            self.found.popitem(last=False)
+
     def come_for(self, exchange: Exchange, old: str, viewer: str) -> bool:
         """Whether the viewer of a play that was moved is answered by what came of the move.
 
--- a/curlewhall/policy.py
+++ b/curlewhall/policy.py
@@ -69,6 +69,7 @@
         self.heard, self.heard_at = 0, NEVER
         self.short_at = self.eased_at = self.full_at = self.cold_from = self.doubted_at = NEVER
         self.doubt, self.broken, self.probe_out, self.waiting = 0, False, False, []
+        self.used = NEVER, 0, None  # when, after which change, what `use` said
 
 
 class Rack:
@@ -95,7 +96,7 @@
         self.plays, self.nodes, self.racks, self.cells = {}, {}, {}, {}
         kept = max(rate_card["rules.fall"], rate_card.get("rules.look_back", 0))
         self.takes, self.further = Changes(kept), deque()  # for the budget of further allocations
-        self.wakes, self.labels, self.average = {}, 0, (NEVER, 0)
+        self.wakes, self.labels, self.average, self.turn = {}, 0, (NEVER, 0), 0
         self.out = [("wake", self.chance(2 * SECOND), 0)] if rate_card["report.how"] == "on_probe" else []
         self.changes, self.links, self.part = Changes(10 * SECOND), 1, (NEVER, 1)
         self.chain = [(self.in_time, None), (self.rationed, self.again), (self.holding, self.health),
@@ -106,7 +107,7 @@
     # ---- called from outside, as interface.py tells
 
     def listed(self, now, how, rows):
-        changed, named = False, {row.node for row in rows}
+        changed, named, self.turn = False, {row.node for row in rows}, self.turn + 1
         for row in rows:
             node = self.nodes.get(row.node)
             if node is None:
@@ -405,6 +406,7 @@
         return sum(self.rate(p, p.rung) for p in plays.values())
 
     def change(self, now, node, kb):
+        self.turn += 1
         for changes in (node.changes, node.rack.changes, self.changes):
             changes.add(now, kb)
 
@@ -428,6 +430,7 @@
         return self.part[1]
 
     def hear(self, now, node, report, when=None):
+        self.turn += 1
         when = when or now - SECOND // 2  # reports are refreshed and delayed by fractions of a second
         if "link_asked" in report or "link_share" in report:
             node.heard, node.heard_at = report.get("link_asked", report.get("link_share")), when
@@ -438,6 +441,12 @@
 
     def use(self, now, node):
         """Reported use of the link and of the uplink share, own changes since then added; None: no report."""
+        # several stages ask for the same nodes in one moment: reckoned anew only when something has changed
+        if node.used[0] != now or node.used[1] != self.turn:
+            node.used = now, self.turn, self.reckon(now, node)
+        return node.used[2]
+
+    def reckon(self, now, node):
         old, rack, uplink = now - 5 * SECOND, node.rack, 0  # 5 s: about as long as a tenth of the plays last
         if node.heard_at < old:
             return None
--- a/tests/front/test_front.py
+++ b/tests/front/test_front.py
@@ -158,6 +158,22 @@
         await until(lambda: [row for row in place.rows("rung") if row["play"] == play])
 
 
+@looped
+@pytest.mark.parametrize(("product", "setups"), [("paid", 1), ("plain", 2)])
+async def test_a_paid_play_found_after_a_kill_is_given_to_its_viewer_not_paid_twice(tmp_path, product,
+                                                                                    setups):
+    async with town(tmp_path) as place:
+        await place.ask(product=product, viewer="one")  # set up; the front dies before the answer is used
+        await place.kill(place.fronts[0])
+        front = await place.front()
+        await until(lambda: front.driver.counts["resumed"] == 1)
+        message, plan = await place.ask(product=product, viewer="one", again=1)
+        assert message.status == 200 and len(place.rows("setup")) == setups
+        assert (await place.segment(plan)).status == 200
+        message, _ = await place.ask(product=product, viewer="other")
+        assert message.status == 200 and len(place.rows("setup")) == setups + 1
+
+
 @looped
 async def test_two_hundred_set_ups_in_one_turn_get_an_answer_each(tmp_path):
     async with town(tmp_path, TwoDrawn) as place:
