Recovery, first slice: state folder, strict set-ups, budget over a crash, drill kill

Need: a front killed outright forgot which paid set-ups may have run and what of the budget was spent. A stand-in ended plays of a front that had been back meanwhile: mended.

--- a/curlewhall/drills/fleet.py
+++ b/curlewhall/drills/fleet.py
@@ -135,6 +135,9 @@
     file.tokens.key_file, file.tokens.life_s = plan["key_file"], 600
     file.limits.answer_margin_ms = 100
     file.moves.drain_within_ms = int(1000 * plan.get("drain_within", 8.0))
+    if plan.get("durability"):
+        file.state.folder = str(Path(plan["folder"]) / f"{front['name']}.state")
+        file.state.durability = int(plan["durability"] == "strict")
     file.logs.form, file.logs.level = front_pb2.JSON, "info"
     return text_format.MessageToString(file)
 
--- a/curlewhall/front/driver.py
+++ b/curlewhall/front/driver.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from curlewhall.interface import NodeRow
+from curlewhall.recovery.run import NoKeeper
 from curlewhall.wire.forms import Facts, Title
 from curlewhall.wire.server import Exchange
 
@@ -47,6 +48,29 @@
         self.kept: tuple | None = None  # an answer whose viewer has yet to come for it
 
 
+class Waiting:
+    """An allocation that has yet to go out: it may have to be on disk first."""
+
+    def __init__(self, driver: "Driver", held: Held, number: int, node: str, until: int) -> None:
+        self.driver, self.held, self.number, self.node, self.until = driver, held, number, node, until
+
+    def go(self, sure: bool) -> None:
+        """Send it, unless it was withdrawn meanwhile, or is not surely kept."""
+        held, driver = self.held, self.driver
+        if held.out.get(self.number) is not self:
+            return
+        span = self.until - driver.clock.now()
+        ask = driver.nodes.set_up(held, self.number, self.node, span / SECOND) if sure and span > 0 else None
+        if ask is None:
+            self.withdraw()
+        else:
+            held.out[self.number] = ask
+
+    def withdraw(self) -> None:
+        """Nothing went out."""
+        self.driver.set_up_ended(self.held, self.number, self.node, "not_sent", 0.0, {})
+
+
 class Driver:
     """Owns one instance of the module. `viewers`, `nodes` and `peers` are set before the first call."""
 
@@ -57,8 +81,10 @@
         self.busy = False
         self.plays: dict[str, Held] = {}
         self.viewers = self.nodes = self.peers = self.moves = None
+        self.keeper = NoKeeper()
         self.counts = dict.fromkeys(("asked", "played", "declined", "failed", "left", "ended", "guarded",
                                      "faults", "allocations", "resumed", "moved"), 0)
+        self.paid = {p["name"]: p["idempotency"] != "pure" for p in card.get("products", ())}
         self.module = make(self.clock.now(), seed, card)
         self.verbs = {"allocate": self.allocate, "rung": self.set_rung, "decline": self.decline,
                       "fail": self.fail, "withdraw": self.withdraw, "move": self.move, "probe": self.probe,
@@ -95,6 +121,7 @@
         facts = held.facts
         self.plays[facts.play] = held
         self.counts["asked"] += 1
+        self.keeper.took()
         held.guard = self.timers.after(max(0, held.limit - self.clock.now()) / SECOND + 0.02, self.overdue,
                                        held)
         self.hear("asked", facts.play, facts.product, facts.customer, facts.viewer, facts.title, held.limit,
@@ -128,6 +155,7 @@
             self.drop(held)
             return
         held.playing, held.node = number, node
+        self.keeper.playing(held.facts.play, number + held.offset)
         self.log.info("first frame", play=held.facts.play, allocation=number, node=node, rung=held.rung,
                       took_ms=span / 10)
         self.hear("first_frame", held.facts.play, number, node, span)
@@ -200,11 +228,15 @@
         number = held.number
         self.counts["allocations"] += 1
         self.log.info("allocate", play=play, allocation=number, node=node, rung=held.rung, span_ms=span / 10)
-        ask = self.nodes.set_up(held, number, node, span / SECOND)
-        if ask is None:  # told after this list of answers, as whatever comes of an allocation is
+        if number and not self.keeper.may():
+            self.log.info("the budget of the process before is spent", play=play)
             self.hear("ended", play, number, node, "not_sent", held.answered, 0, {})
-        else:
-            held.out[number] = ask
+            return
+        waiting = Waiting(self, held, number, node, self.clock.now() + span)
+        held.out[number] = waiting
+        paid = self.paid.get(held.facts.product, False)
+        if self.keeper.sending(held, number, node, paid, waiting.go):
+            waiting.go(True)
 
     def set_rung(self, play: str, rung: int) -> None:
         held = self.plays.get(play)
@@ -269,4 +301,5 @@
     def drop(self, held: Held) -> None:
         if held.answered and not held.out and held.playing is None:
             self.plays.pop(held.facts.play, None)
+            self.keeper.over(held.facts.play)
             held.exchange = None
--- a/curlewhall/front/nodes.py
+++ b/curlewhall/front/nodes.py
@@ -188,6 +188,7 @@
         node.pause = self.timers.after(pause, self.follow, node)
 
     def lost(self, name: str) -> None:
+        self.driver.keeper.spoke(name, ())
         for play in [p for p, held in self.driver.plays.items() if held.node == name
                      and held.playing is not None]:
             self.driver.play_ended(play, "broken")
@@ -217,6 +218,7 @@
             self.driver.log.warning("a stranger answers at a node's address", node=name, found=event.node)
             return
         there = {facts.play: facts for facts in event.plays}
+        self.driver.keeper.spoke(name, there)
         node.tries = 0
         for play, held in list(self.driver.plays.items()):
             if held.node == name and held.playing is not None and play not in there:
--- a/curlewhall/front/serve.py
+++ b/curlewhall/front/serve.py
@@ -1,7 +1,6 @@
 """One front as a process: puts the sides together, runs until it is told to stop."""
 
 import asyncio
-import contextlib
 import importlib
 import os
 import signal
@@ -12,8 +11,11 @@
 from curlewhall.dash.tokens import read_key
 from curlewhall.moves import Mover
 from curlewhall.moves.run import Moves
+from curlewhall.recovery.form import Newer
+from curlewhall.recovery.run import Keeper
+from curlewhall.recovery.store import Busy, Files, Store
 from curlewhall.settings import rate_card
-from curlewhall.settings.front_pb2 import FrontFile
+from curlewhall.settings.front_pb2 import STRICT, FrontFile
 from curlewhall.wire.client import Pool
 from curlewhall.wire.http import Limits
 from curlewhall.wire.server import Server, listen
@@ -80,6 +82,12 @@
         service = Pool(self.loop, self.timers, file.list_service.address, file.list_service.port)
         self.follower = Follower(self.driver, service, name, file.list_service.kept_file)
         self.viewers.follower = self.follower
+        if file.state.folder:
+            window = file.rules.look_back_ms
+            files = Files(file.state.folder, window, tell=lambda what, **facts: log.warning(what, **facts))
+            files.open()
+            store = Store(files, self.loop, self.timers, log)
+            self.driver.keeper = Keeper(store, file.state.durability == STRICT, card)
         drain_within = 10 * (file.moves.drain_within_ms or 30_000)
         self.driver.moves = Moves(self.driver, self.timers, (mover or Mover)(
             self.driver.clock.now(), card, drain_within))
@@ -112,6 +120,7 @@
         self.server.close()
         if self.peers.transport is not None:
             self.peers.transport.close()
+        self.driver.keeper.close()
 
 
 async def until_told(file: FrontFile, log, make: Callable | None, mover: Callable | None) -> None:
@@ -126,6 +135,10 @@
 
 
 def run(file: FrontFile, log, make: Callable | None = None, mover: Callable | None = None) -> None:
-    """Serve until SIGTERM or SIGINT. `OSError` where a socket can't be had."""
-    with contextlib.suppress(KeyboardInterrupt):
+    """Serve until SIGTERM or SIGINT. `OSError` where a socket or the state's folder can't be had."""
+    try:
         uvloop.run(until_told(file, log, make, mover))
+    except (Busy, Newer) as err:
+        raise OSError(str(err)) from None
+    except KeyboardInterrupt:
+        pass
--- a/curlewhall/front/viewers.py
+++ b/curlewhall/front/viewers.py
@@ -92,6 +92,9 @@
             return
         if terms["idempotency"] != "pure" and self.adopt(exchange, viewer, name, product):
             return
+        if self.driver.keeper.doubtful(viewer, name, product):
+            problems.answer(exchange, 502, "An earlier set-up may have run; its node has not said yet")
+            return
         self.count += 1
         now = self.driver.clock.now()
         floor = card["specifics.floor_by_class"][index]
--- /dev/null
+++ b/curlewhall/recovery/run.py
@@ -0,0 +1,90 @@
+"""Between the front's driver and its store: what is written when, and what may wait for it."""
+
+import time
+from collections.abc import Callable
+
+from .decide import Doubts, Window
+from .state import Further, Out, Over, Playing, Took
+from .store import Store
+
+
+def unix_ms() -> int:
+    return time.time_ns() // 1_000_000
+
+
+class NoKeeper:
+    """A front without a state folder: nothing is kept, nothing waits."""
+
+    def may(self) -> bool:
+        return True
+
+    def sending(self, held, number: int, node: str, paid: bool, go: Callable[[bool], None]) -> bool:
+        return True
+
+    def playing(self, play: str, number: int) -> None: ...
+
+    def over(self, play: str) -> None: ...
+
+    def took(self) -> None: ...
+
+    def spoke(self, node: str, plays) -> None: ...
+
+    def doubtful(self, viewer: str, title: str, product: str) -> bool:
+        return False
+
+    def close(self) -> None: ...
+
+
+class Keeper(NoKeeper):
+    """Writes entries to a store. `strict`: a paid or further allocation goes out only once it is on disk."""
+
+    def __init__(self, store: Store, strict: bool, card: dict) -> None:
+        self.store, self.strict, self.state = store, strict, store.files.state
+        now = unix_ms()
+        look_back = card.get("rules.look_back")
+        self.window = Window(self.state, now, None if look_back is None else look_back // 10,
+                             card.get("rules.spare_allocations", 0), card.get("rules.extra_per_request", 0.0))
+        self.doubts = Doubts(self.state, now)
+        self.second, self.count = 0, 0
+
+    def may(self) -> bool:
+        return self.window.may(unix_ms(), self.count)
+
+    def sending(self, held, number: int, node: str, paid: bool, go: Callable[[bool], None]) -> bool:
+        """Whether the allocation may go out now; if not, `go` is called once it may, or may not."""
+        facts, now = held.facts, unix_ms()
+        if number:
+            self.store.add(Further(now))
+        waits = self.strict and (paid or number > 0)
+        self.store.add(Out(facts.play, number + held.offset, node, facts.viewer, facts.title, facts.product,
+                           paid,
+                           now), go if waits else None)
+        return not waits
+
+    def playing(self, play: str, number: int) -> None:
+        self.store.add(Playing(play, number))
+
+    def over(self, play: str) -> None:
+        if play in self.state.out:
+            self.store.add(Over(play))
+
+    def took(self) -> None:
+        now = unix_ms()
+        if now // 1000 != self.second:
+            if self.count:
+                self.store.add(Took(now, self.count))
+            self.second, self.count = now // 1000, 0
+        self.count += 1
+
+    def spoke(self, node: str, plays) -> None:
+        """A node has said which plays it holds for this front; what else the disk has of it is over."""
+        self.doubts.cleared(node)
+        for play in [out.play for out in self.state.out.values() if out.node == node
+                     and out.play not in plays]:
+            self.store.add(Over(play))
+
+    def doubtful(self, viewer: str, title: str, product: str) -> bool:
+        return self.doubts.doubtful(unix_ms(), viewer, title, product)
+
+    def close(self) -> None:
+        self.store.close()
--- /dev/null
+++ b/curlewhall/recovery/store.py
@@ -0,0 +1,245 @@
+"""The files of one front: a log with group commit, snapshots, one folder that one process owns.
+
+Damage never stops a start: what can be read is taken, the rest is told, and a fresh generation is begun, so
+that nothing is ever appended to a damaged file. Two things do stop it: a folder that another process holds,
+and
+files of a later version.
+"""
+
+import fcntl
+import os
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+from . import form
+from .state import Entry, State
+
+LARGE = 4 << 20  # bytes of a log after which a snapshot is made: some 40,000 entries, read back in a second
+AGAIN = 1.0  # seconds until a disk that failed is tried again
+
+
+class Busy(Exception):
+    """Another process holds the folder."""
+
+
+class Disk:
+    """What the store does to files; tests put one that fails in its place."""
+
+    def write(self, path: Path, data: bytes) -> None:
+        """A whole new file, on disk before this returns."""
+        with open(path, "wb") as file:
+            file.write(data)
+            file.flush()
+            os.fsync(file.fileno())
+        self.sync(path.parent)
+
+    def append(self, path: Path, data: bytes) -> None:
+        """More of a file, on disk before this returns."""
+        with open(path, "ab") as file:
+            file.write(data)
+            file.flush()
+            os.fsync(file.fileno())
+
+    def replace(self, old: Path, new: Path) -> None:
+        os.replace(old, new)
+        self.sync(new.parent)
+
+    def read(self, path: Path) -> bytes:
+        return path.read_bytes()
+
+    def remove(self, path: Path) -> None:
+        path.unlink(missing_ok=True)
+
+    def names(self, folder: Path) -> list[str]:
+        return sorted(os.listdir(folder))
+
+    def sync(self, folder: Path) -> None:
+        number = os.open(folder, os.O_RDONLY)
+        try:
+            os.fsync(number)
+        finally:
+            os.close(number)
+
+
+class Files:
+    """The generations of a folder, without a thread: `Store` adds that."""
+
+    def __init__(self, folder: str | Path, window: int, disk: Disk | None = None,
+                 tell: Callable[..., None] = lambda *facts, **named: None) -> None:
+        self.folder, self.disk, self.tell = Path(folder), disk or Disk(), tell
+        self.state, self.generation, self.size, self.lock = State(window), 0, 0, None
+        self.ill = False
+
+    def name(self, kind: str, generation: int) -> Path:
+        return self.folder / f"{kind}-{generation:08}"
+
+    def open(self) -> State:
+        """Own the folder and read it: the state of the process before. `Busy`, `form.Newer`, `OSError`."""
+        self.folder.mkdir(mode=0o700, parents=True, exist_ok=True)
+        self.lock = os.open(self.folder / "lock", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        try:
+            fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            os.close(self.lock)
+            self.lock = None
+            raise Busy(f"{self.folder}: another process holds it") from None
+        try:
+            self.recover()
+            self.begin(self.generation + 1)
+        except OSError as err:
+            # Danger: a full disk must not become a crash loop. Nothing is kept until it can be.
+            self.ill = True
+            self.tell("the state can't be kept", why=str(err))
+        except BaseException:
+            self.close()
+            raise
+        return self.state
+
+    def recover(self) -> None:
+        """The newest sound snapshot and the logs from its generation on."""
+        there: dict[str, list[int]] = {"snapshot": [], "log": []}
+        for name in self.disk.names(self.folder):
+            kind, _, number = name.partition("-")
+            if kind in there and number.isdigit():
+                there[kind].append(int(number))
+        self.generation = max([*there["snapshot"], *there["log"], 0])
+        base = -1
+        for generation in sorted(there["snapshot"], reverse=True):
+            try:
+                rows = form.read_snapshot(self.disk.read(self.name("snapshot", generation)))
+            except (form.Damaged, OSError) as err:
+                self.tell("a snapshot can't be read", generation=generation, why=str(err))
+                continue
+            base = generation
+            for row in rows:
+                self.state.apply(row)
+            break
+        for generation in sorted(there["log"]):
+            if generation < base:
+                continue
+            try:
+                rows, ended = form.entries(self.disk.read(self.name("log", generation)))
+            except (form.Damaged, OSError) as err:
+                rows, ended = [], str(err)
+            for row in rows:
+                self.state.apply(row)
+            if ended:
+                self.tell("a log ends early", generation=generation, entries=len(rows), why=ended)
+
+    def begin(self, generation: int) -> None:
+        """A new generation: a snapshot of what is known, an empty log, the one before kept, older ones
+        gone.
+        """
+        whole = self.name("snapshot", generation)
+        fresh = whole.with_name("new-snapshot")
+        self.disk.write(fresh, form.snapshot(self.state.rows()))
+        self.disk.write(self.name("log", generation), form.head(form.LOG))
+        self.disk.replace(fresh, whole)
+        old, self.generation, self.size = self.generation, generation, form.HEAD.size
+        for name in self.disk.names(self.folder):
+            kind, _, number = name.partition("-")
+            if kind in ("snapshot", "log") and number.isdigit() and int(number) < old:
+                self.disk.remove(self.folder / name)
+
+    def append(self, rows: list[Entry]) -> None:
+        """Put entries on disk; `OSError` where they are not surely there."""
+        data = b"".join(map(form.frame, rows))
+        self.disk.append(self.name("log", self.generation), data)
+        self.size += len(data)
+
+    def close(self) -> None:
+        if self.lock is not None:
+            os.close(self.lock)
+            self.lock = None
+
+
+class Store:
+    """Files with a thread of their own: entries of one turn, and of a write under way, go to disk
+    together.
+    """
+
+    def __init__(self, files: Files, loop, timers, log) -> None:
+        self.files, self.loop, self.timers, self.log = files, loop, timers, log
+        self.rows: list[Entry] = []
+        self.thens: list[Callable[[bool], None]] = []
+        self.thread = ThreadPoolExecutor(1, thread_name_prefix="store")
+        self.writing = self.failing = False
+        self.commits = self.entries = 0
+        if files.ill:
+            self.failing = True
+            timers.after(AGAIN, self.again)
+
+    def add(self, entry: Entry, then: Callable[[bool], None] | None = None) -> None:
+        """Keep an entry. `then(sure)` is called once it is on disk, or once it is known that it is not."""
+        self.files.state.apply(entry)
+        if self.failing:  # the state has it, and is written whole when the disk is back
+            if then is not None:
+                self.loop.call_soon(then, False)
+            return
+        self.rows.append(entry)
+        if then is not None:
+            self.thens.append(then)
+        if not self.writing:
+            self.writing = True
+            self.loop.call_soon(self.commit)
+
+    def commit(self) -> None:
+        rows, self.rows = self.rows, []
+        thens, self.thens = self.thens, []
+        large = self.files.size > LARGE
+        whole = form.snapshot(self.files.state.rows()) if large else None
+        future = self.loop.run_in_executor(self.thread, self.write, rows, whole)
+        future.add_done_callback(lambda done: self.written(done, rows, thens))
+
+    def write(self, rows: list[Entry], whole: bytes | None) -> None:
+        self.files.append(rows)
+        if whole is not None:
+            # the snapshot was made with these rows in it, on the loop, where the state is whole
+            files, generation = self.files, self.files.generation + 1
+            fresh = files.name("snapshot", generation).with_name("new-snapshot")
+            files.disk.write(fresh, whole)
+            files.disk.write(files.name("log", generation), form.head(form.LOG))
+            files.disk.replace(fresh, files.name("snapshot", generation))
+            old, files.generation, files.size = files.generation, generation, form.HEAD.size
+            for kind in ("snapshot", "log"):
+                files.disk.remove(files.name(kind, old - 1))
+
+    def written(self, done, rows: list[Entry], thens: list) -> None:
+        err = done.exception()
+        self.commits, self.entries = self.commits + 1, self.entries + len(rows)
+        if err is not None:
+            # Danger: a full disk. What is not surely kept is said so; the state is written anew, whole,
+            # later.
+            self.failing, self.writing = True, False
+            self.log.error("the state can't be kept", why=str(err))
+            thens += self.thens
+            self.thens, self.rows = [], []
+            self.timers.after(AGAIN, self.again)
+        elif self.rows:
+            self.commit()
+        else:
+            self.writing = False
+        for then in thens:
+            then(err is None)
+
+    def again(self) -> None:
+        """Begin a new generation with the whole state: what failed is in it."""
+        try:
+            self.files.begin(self.files.generation + 1)
+        except OSError as err:
+            self.log.warning("the state still can't be kept", why=str(err))
+            self.timers.after(AGAIN, self.again)
+            return
+        self.failing = False
+        self.log.info("the state is kept again", generation=self.files.generation)
+
+    def close(self) -> None:
+        """Write what is left, give the folder up."""
+        self.thread.shutdown(wait=True)
+        if self.rows and not self.failing:
+            try:
+                self.files.append(self.rows)
+            except OSError as err:
+                self.log.error("the last entries are not kept", why=str(err))
+        self.files.close()
--- a/curlewhall/standins/node.py
+++ b/curlewhall/standins/node.py
@@ -40,6 +40,7 @@
         self.faults: dict[str, float] = {}
         self.plays: dict[str, Play] = {}
         self.streams: dict[str, Exchange] = {}
+        self.away: dict[str, Exchange] = {}  # front -> its last stream, while it has none
         self.server: Server | None = None
         self.count, self.smooth, self.short, self.life = 0, 1.0, False, 0
         self.reported: tuple[float, dict] = (float("-inf"), {})
@@ -79,6 +80,7 @@
         for play in list(self.plays.values()):
             self.close(play, "died")
         self.streams.clear()
+        self.away.clear()
         server.stop()
         for line in list(server.connections):
             line.abort()
@@ -287,6 +289,7 @@
         if old is not None:
             old.finish()
         self.streams[front] = exchange
+        self.away.pop(front, None)
         exchange.gone = lambda: self.parted(front, exchange)
         exchange.start(200, {"content-type": "application/jsonl"})
         held = [play.facts for play in self.plays.values() if play.front == front and play.playing]
@@ -295,10 +298,12 @@
     def parted(self, front: str, exchange: Exchange) -> None:
         if self.streams.get(front) is exchange:
             del self.streams[front]
-            self.timers.after(ORPHAN, self.orphans, front, self.life)
+            self.away[front] = exchange
+            self.timers.after(ORPHAN, self.orphans, front, exchange)
 
-    def orphans(self, front: str, life: int) -> None:
-        if life == self.life and front not in self.streams:
+    def orphans(self, front: str, exchange: Exchange) -> None:
+        if self.away.get(front) is exchange:  # away all the time since that stream
+            del self.away[front]
             for play in [p for p in self.plays.values() if p.front == front]:
                 self.close(play, "orphan")
 
--- a/tests/front/town.py
+++ b/tests/front/town.py
@@ -87,6 +87,7 @@
         front.server.close()
         if front.peers.transport is not None:
             front.peers.transport.close()
+        front.driver.keeper.close()
         self.fronts.remove(front)
         await until(lambda: front.server.sock.fileno() < 0)
         await asyncio.sleep(0)  # the datagram socket is closed in the turn after
--- /dev/null
+++ b/tests/recovery/test_kept.py
@@ -0,0 +1,67 @@
+"""A front with a state folder over loopback: what waits for the disk, what is believed after a kill."""
+
+import asyncio
+import errno
+
+import pytest
+from front.town import town, until
+from loopback import looped
+
+from curlewhall.drills.baselines import TwoDrawn
+from curlewhall.recovery.store import Busy, Disk
+
+
+def full(*facts):
+    raise OSError(errno.ENOSPC, "No space left on device")
+
+
+@looped
+@pytest.mark.parametrize(("durability", "product", "status", "setups"), [
+    ("strict", "paid", 503, 0), ("strict", "plain", 200, 1), ("lagging", "paid", 200, 1)])
+async def test_with_a_full_disk_only_a_strict_fronts_paid_plays_are_not_sent(
+        tmp_path, monkeypatch, durability, product, status, setups):
+    async with town(tmp_path, TwoDrawn, durability=durability) as place:
+        monkeypatch.setattr(Disk, "append", lambda *facts: (_ for _ in ()).throw(OSError(errno.ENOSPC,
+                                                                                         "full")))
+        monkeypatch.setattr(Disk, "write", Disk.append)
+        message, _ = await place.ask(product=product)
+        assert message.status == status and len(place.rows("setup")) == setups
+
+
+@looped
+async def test_after_a_kill_a_paid_viewer_waits_for_its_silent_nodes_word(tmp_path):
+    async with town(tmp_path, TwoDrawn, durability="strict") as place:
+        message, _ = await place.ask(product="paid", viewer="one")
+        node = place.rows("setup")[0]["at"][5:]
+        place.fault("freeze", nodes=[node])
+        await place.kill(place.fronts[0])
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.5):  # the silent node's stream never greets
+                await place.front(TwoDrawn)
+        message, problem = await place.ask(product="paid", viewer="one", again=1)
+        assert message.status == 502 and "has not said yet" in problem["detail"]
+        assert (await place.ask(product="plain", viewer="other"))[0].status == 200
+        place.fault("freeze", 0, nodes=[node])
+
+
+@looped
+async def test_plays_that_ended_while_the_front_was_away_are_over_on_its_disk_too(tmp_path):
+    async with town(tmp_path, TwoDrawn, nodes=2, durability="strict") as place:
+        for i in range(6):
+            await place.ask(viewer=f"v{i}", product="paid", title=f"clip-0{i}")
+        await until(lambda: len(place.fronts[0].driver.keeper.state.playing) == 6)
+        await place.kill(place.fronts[0])
+        gone = place.fleet.nodes["n000"]
+        for play in list(gone.plays.values()):
+            gone.close(play, "ok")
+        front = await place.front(TwoDrawn)
+        here = [row for row in place.rows("setup") if row["at"] == "node:n001"]
+        await until(lambda: front.driver.counts["resumed"] == len(here))
+        await until(lambda: set(front.driver.keeper.state.out) == {row["play"] for row in here})
+
+
+@looped
+async def test_two_fronts_do_not_share_a_folder(tmp_path):
+    async with town(tmp_path, TwoDrawn, durability="lagging") as place:
+        with pytest.raises(Busy):
+            await place.front(TwoDrawn)
