--- /dev/null
+++ b/bench/recovery.py
@@ -0,0 +1,105 @@
+"""What durability costs a front, how much it writes, and how long a start takes with many plays on disk.
+
+    python bench/recovery.py [--seconds S] [--out bench/results/recovery]
+
+Off, lagging and strict in one run; every play is a paid one, so that strict waits for the disk each time.
+"""
+
+import argparse
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+
+from front import ask, listening, process, serve  # noqa: E402
+from rig import plan_for  # noqa: E402
+
+from curlewhall.recovery import form  # noqa: E402
+from curlewhall.recovery.state import Out, Playing  # noqa: E402
+from curlewhall.recovery.store import Files  # noqa: E402
+
+RIG = str(Path(__file__).with_name("rig.py"))
+WAYS = {"off": None, "lagging": "LAGGING", "strict": "STRICT"}
+
+
+def cost(seconds: float) -> list[str]:
+    rows = ["| durability | load | set-ups/s | p50 ms | p99 ms | bytes written a play |", "|" + " --- |" * 6]
+    with tempfile.TemporaryDirectory() as name:
+        folder = Path(name)
+        plan = plan_for(folder, 14, life=2.0)
+        file = folder / "front.textproto"
+        plain = file.read_text().replace("idempotency: PURE", "idempotency: SIDE_EFFECT")
+        rate = 0.0
+        with process([RIG, "nodes", str(folder / "plan.json")], 0, folder, "ready"):
+            for way, durability in WAYS.items():
+                state = folder / f"state-{way}"
+                more = f'\nstate {{ folder: "{state}" durability: {durability} }}\n' if durability else ""
+                file.write_text(plain + more)
+                with serve(folder, "curlewhall.policy:Front"):
+                    listening(plan, folder)
+                    ask(folder, 0, 1.0)
+                    size = written(state)
+                    most = ask(folder, 0, seconds)
+                    rate = rate or most["rate"]
+                    for load, found in (("most", most), ("half", ask(folder, rate / 2, seconds))):
+                        grown, size = written(state) - size, written(state)
+                        count = sum(found["ends"].values())
+                        rows.append(f"| {way} | {load} | {found['rate']:.0f} | {found['p50']:.2f} | "
+                                    f"{found['p99']:.2f} | {max(0, grown) / count:.0f} |")
+    return rows
+
+
+def written(folder: Path) -> int:
+    return sum(path.stat().st_size for path in folder.glob("log-*")) if folder.exists() else 0
+
+
+def starts() -> list[str]:
+    rows = ["| plays on disk | log MB | start s from the log | start s from a snapshot | snapshot MB |",
+            "|" + " --- |" * 5]
+    for count in (10_000, 100_000):
+        with tempfile.TemporaryDirectory() as name:
+            files = Files(name, 10_000)
+            files.open()
+            entries = [entry for i in range(count) for entry in (
+                Out(f"front-a-1f2e3d4c-{i:x}", 0, f"n{i % 170:03}", f"viewer-{i}", f"clip-{i % 300}",
+                    "paid", True, i),
+                Playing(f"front-a-1f2e3d4c-{i:x}", 0))]
+            files.append(entries)
+            log = files.size
+            files.close()
+            spent = []
+            for _ in range(2):  # the first start reads the log and makes a snapshot, the second reads that
+                began = time.perf_counter()
+                again = Files(name, 10_000)
+                again.open()
+                spent.append(time.perf_counter() - began)
+                assert len(again.state.playing) == count
+                again.close()
+            whole = len(form.snapshot(again.state.rows()))
+            rows.append(f"| {count} | {log / 1e6:.1f} | {spent[0]:.2f} | {spent[1]:.2f} | {whole / 1e6:.2f} |")
+    return rows
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--seconds", type=float, default=5.0)
+    parser.add_argument("--out", default="bench/results/recovery")
+    asked = parser.parse_args()
+    text = "\n".join([*cost(asked.seconds), "", *starts(), "",
+                      "14 stand-in nodes that answer at once, all on one machine; ratios within
+                      one
+                      run
+                     
+                    
+                     
+                      count."])
+    Path(asked.out + ".md").write_text(text + "\n")
+    print(text)
+
+
+if __name__ == "__main__":
+    main()
+
+
