--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -43,7 +43,8 @@
                     size = written(state)
                     most = ask(folder, 0, seconds)
                     rate = rate or most["rate"]
-                    for load, found in (("most", most), ("half", ask(folder, rate / 2, seconds))):
+                    for load in ("most", "half"):
+                        found = most if load == "most" else ask(folder, rate / 2, seconds)
                         grown, size = written(state) - size, written(state)
                         count = sum(found["ends"].values())
                         rows.append(f"| {way} | {load} | {found['rate']:.0f} | {found['p50']:.2f} | "
@@ -78,7 +79,8 @@
                 assert len(again.state.playing) == count
                 again.close()
             whole = len(form.snapshot(again.state.rows()))
-            rows.append(f"| {count} | {log / 1e6:.1f} | {spent[0]:.2f} | {spent[1]:.2f} | {whole / 1e6:.2f} |")
+            cells = (count, f"{log / 1e6:.1f}", f"{spent[0]:.2f}", f"{spent[1]:.2f}", f"{whole / 1e6:.2f}")
+            rows.append(f"| {' | '.join(map(str, cells))} |")
     return rows
 
 
@@ -87,19 +89,11 @@
     parser.add_argument("--seconds", type=float, default=5.0)
     parser.add_argument("--out", default="bench/results/recovery")
     asked = parser.parse_args()
-    text = "\n".join([*cost(asked.seconds), "", *starts(), "",
-                      "14 stand-in nodes that answer at once, all on one machine; ratios within
-                      one
-                      run
-                     
-                    
-                     
-                      count."])
+    note = "14 stand-in nodes that answer at once, all on one machine; ratios within one run count."
+    text = "\n".join([*cost(asked.seconds), "", *starts(), "", note])
     Path(asked.out + ".md").write_text(text + "\n")
     print(text)
 
 
 if __name__ == "__main__":
     main()
-
-
