Moves look for room as the module does: the rung worth most, the least product's cap

Change: the mover asks for the larger of the rate in force and that rung's, and leaves the least product out of nodes above the fraction where this front's slice is full.

--- a/curlewhall/moves/decide.py
+++ b/curlewhall/moves/decide.py
@@ -21,6 +21,7 @@
 FRESH = 5 * SECOND  # a report older than that says nothing; the module reckons alike
 KEPT = 0.15  # of link and uplink kept for new plays; the module fills up to 0.9, so moves are never its last
 BRIDGE = 3 * SECOND // 2  # of buffer bridge a set-up, a reload of the manifest and a segment's first half
+FRACTION = 0.5  # of a node's streams, at which the design's cap on the least product begins
 LAST = 5 * SECOND  # so long before the deadline an empty buffer is no reason to wait any more
 FIRST_PAUSE, LONGEST_PAUSE = SECOND // 2, 4 * SECOND  # after a try that found no room; doubled each time
 TRIES = 8  # with the pauses above: some 25 s, about as long as an operator waits for a drain
@@ -71,6 +72,7 @@
 
     def __init__(self, now: int, terms: dict, drain_within: int) -> None:
         self.terms, self.drain_within = terms, drain_within
+        self.least = min((p["importance"] for p in terms["products"]), default=0.0)
         self.rooms: dict[str, Room] = {}
         self.cells: dict[int, list[str]] = {}
         self.heard: dict[str, Heard] = {}
@@ -299,10 +301,10 @@
     def holder(self, now: int, seat: Seat) -> bool:
         """Whether some node that holds the title shows room for the play, and can take a set-up now."""
         nodes = [n for cell in seat.cells for n in self.cells.get(cell, ()) if n != seat.node]
-        return any(self.fits(now, n, seat.rate) for n in nodes)
+        return any(self.fits(now, n, seat) for n in nodes)
 
-    def fits(self, now: int, node: str, rate: float) -> bool:
-        room = self.rooms[node]
+    def fits(self, now: int, node: str, seat: Seat) -> bool:
+        room, rate, fullest = self.rooms[node], seat.rate, 0.0
         if room.state != "serving":
             return False
         uplink = self.terms["specifics.uplink_kb"]
@@ -310,10 +312,19 @@
             # what others may have placed since the report counts as much as this front's own
             mine = max(0.0, heard.since) * self.terms["fronts"]
             full = heard.full if now - heard.at <= FRESH else self.average(now)
-            if full * given + mine + rate > (1 - KEPT) * given:
-                return False
+            fullest = max(fullest, (full * given + mine + rate) / given)
+        # Danger: the least product is capped at this front's slice of a node above the fraction, moved or
+        # not.
+        if fullest > 1 - KEPT or fullest > FRACTION and self.capped(node, seat):
+            return False
         return self.warm(now, node, room)
 
+    def capped(self, node: str, seat: Seat) -> bool:
+        least = self.least
+        slice_ = FRACTION * min(self.terms["specifics.kind_streams"]) / max(1, self.terms["fronts"])
+        held = sum(self.seats[play].importance <= least for play in self.at.get(node, ()))
+        return seat.importance <= least and held + 1 >= slice_
+
     def average(self, now: int) -> float:
         """An unheard node counts as full as the heard ones on the average, two half-full ones added."""
         heard = [h.full for h in self.heard.values() if now - h.at <= FRESH]
--- a/curlewhall/moves/run.py
+++ b/curlewhall/moves/run.py
@@ -25,7 +25,12 @@
         """A play plays, whether asked for, resumed or moved."""
         facts, card = held.facts, self.driver.card
         index, terms = self.driver.viewers.products[facts.product]
-        rate = card["specifics.rung_kb"][held.rung] * card["specifics.class_scale"][index]
+        # the module takes a play in only where the rung worth most for its rate has room, whatever it plays
+        # at
+        ladder, worth = card["specifics.rung_kb"], card["specifics.level_worth"]
+        best = max(range(len(ladder)), key=lambda rung: worth[rung] / ladder[rung])
+        need = max(held.rung, facts.floor, min(facts.top, best))
+        rate = ladder[need] * card["specifics.class_scale"][index]
         cells = tuple((held.title.first_place + i) % max(1, card["specifics.places"])
                       for i in range(held.title.places))
         now = self.driver.clock.now()
--- a/tests/moves/test_decide.py
+++ b/tests/moves/test_decide.py
@@ -11,7 +11,7 @@
 S = 10_000
 CARD = {"specifics.places": 2, "specifics.uplink_kb": 20_000.0, "specifics.kind_streams": [40],
         "fronts": 1, "rules.warm_within": 5 * S, "rules.fall": S, "rules.overload_factor": 4.0,
-        "rules.start_capacity": 0.4}
+        "rules.start_capacity": 0.4, "products": [{"importance": 1.0}, {"importance": 2.0}]}
 NODES = 4
 
 
@@ -107,6 +107,19 @@
     assert ends(rig.said) == [] and any(answer[:2] == ("leave", "p") for answer in rig.said)
 
 
+@pytest.mark.parametrize(("importance", "held", "full", "moves"), [
+    (1.0, 0, 0.7, True), (1.0, 6, 0.7, False), (2.0, 6, 0.7, True), (1.0, 6, 0.4, True), (2.0, 0, 0.9,
+                                                                                          False)])
+def test_the_least_product_is_moved_only_where_the_cap_lets_it_in(importance, held, full, moves):
+    rig = Rig(fronts=3)
+    for node in range(1, NODES):
+        for i in range(held):
+            rig.play(f"h{node}{i}", f"n{node}")
+    rig.play("p", importance=importance)
+    rig.report(full)
+    assert ends(rig.drain(0)) == (["p"] if moves else [])
+
+
 def test_pauses_grow_and_tries_end():
     rig = Rig(within=600 * S)
     rig.play("p", rate=99_999.0)
