--- a/curlewhall/records/__init__.py
+++ b/curlewhall/records/__init__.py
@@ -44,6 +44,25 @@
         self.file.close()
 
 
+class Pulse:
+    """Tells in the records how late its process is: what it read, it read up to so much after it came."""
+
+    EVERY, TOLD = 0.05, 200  # seconds between two looks; tenths of a millisecond under which nothing is said
+
+    def __init__(self, timers, writer: Writer, at: str) -> None:
+        self.timers, self.writer, self.at = timers, writer, at
+        self.next()
+
+    def next(self) -> None:
+        self.timers.after(self.EVERY, self.look, now() + int(self.EVERY * 10_000))
+
+    def look(self, due: int) -> None:
+        late = now() - due
+        if late > self.TOLD:
+            self.writer.write(self.at, "lag", span=late)
+        self.next()
+
+
 class Torn(Exception):
     """A line that is no record."""
 
--- a/curlewhall/standins/crowd.py
+++ b/curlewhall/standins/crowd.py
@@ -20,7 +20,7 @@
 import uvloop
 
 from curlewhall.dash import cmcd, cmsd, manifest
-from curlewhall.records import Writer
+from curlewhall.records import Pulse, Writer
 from curlewhall.wire.client import Pool
 from curlewhall.wire.http import request_bytes
 from curlewhall.wire.timers import Timers
@@ -75,6 +75,7 @@
                 "tries": 1 + rng.randrange(self.crowd["tries"]), "seed": rng.random()}
 
     async def run(self) -> None:
+        Pulse(self.timers, self.records, "viewer")
         drawn = [(at, self.draw(special)) for at, special in arrivals(self.crowd, self.rng)]
         begin = self.loop.time()
         for at, who in drawn:
--- a/curlewhall/standins/fleet.py
+++ b/curlewhall/standins/fleet.py
@@ -18,7 +18,7 @@
 import uvloop
 
 from curlewhall.dash.tokens import read_key
-from curlewhall.records import Writer
+from curlewhall.records import Pulse, Writer
 from curlewhall.wire import forms
 from curlewhall.wire.server import Exchange, Server, listen
 from curlewhall.wire.timers import Timers
@@ -58,6 +58,7 @@
             node.fell = self.fell
             node.start(warm=True)
         self.list.start()
+        Pulse(self.timers, self.records, "fleet")
         where = self.plan["control"]
         Server(self.loop, self.timers, listen(where["address"], where["port"]), self.control)
 
