--- a/curlewhall/drills/fleet.py
+++ b/curlewhall/drills/fleet.py
@@ -8,6 +8,7 @@
 import os
 import random
 import secrets
+import signal
 import subprocess
 import sys
 import time
@@ -155,6 +156,8 @@
         self.logs: list = []
 
     def __enter__(self) -> "Processes":
+        # Danger: a drill that is told to end would leave its processes behind.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(143))
         key = self.folder / "key"
         key.touch(mode=0o600)
         key.write_bytes(secrets.token_bytes(32))
