--- a/curlewhall/moves/decide.py
+++ b/curlewhall/moves/decide.py
@@ -81,7 +81,7 @@
         self.at: dict[str, set[str]] = {}  # node -> plays
         self.plans: dict[str, Plan] = {}
         self.out: set[str] = set()
-        self.cold: dict[str, deque] = {}  # moves begun towards cold nodes' titles, by node
+        self.cold: dict[str, deque] = {}  # when plays began at nodes that have started since this front did
         self.next_at, self.woken = now, None
         self.told: list[tuple] = []
 
@@ -116,6 +116,8 @@
         seat = self.seats[play] = Seat(node, importance, paid, rate, cells, ends)
         self.at.setdefault(node, set()).add(play)
         self.place(node, rate)
+        if node in self.rooms and self.rooms[node].started:
+            self.cold.setdefault(node, deque(maxlen=99)).append(now)  # whatever brought it there
         if node in self.plans:
             self.consider(now, play, seat, self.plans[node])
         return self.work(now)
@@ -342,10 +344,7 @@
         times = self.cold.setdefault(node, deque())
         while times and times[0] <= now - window:
             times.popleft()
-        if len(times) >= most:
-            return False
-        times.append(now)
-        return True
+        return len(times) + len(self.out) < most
 
     def progress(self) -> dict[str, dict[str, int]]:
         """For the people on call: each drain's moved, waiting, left and lost."""
