Moves add to a late note what this front has placed within its lateness

Cause: one move in a few hundred was still declined: the mover took a note for the present, the module adds what it has placed since the moment that the note tells of. Change: the same reckoning here, with the module's running totals.

--- a/bench/moves.py
+++ b/bench/moves.py
@@ -20,7 +20,7 @@
 S = 10_000
 CARD = {"specifics.places": 40, "specifics.uplink_kb": 1e9, "specifics.kind_streams": [99_999],
         "fronts": 1, "rules.warm_within": 5 * S, "rules.fall": S, "rules.overload_factor": 4.0,
-        "rules.start_capacity": 0.4,
+        "rules.start_capacity": 0.4, "specifics.told_late": 7000,
         "products": [{"importance": 1.0}]}
 
 
--- a/curlewhall/moves/decide.py
+++ b/curlewhall/moves/decide.py
@@ -15,6 +15,8 @@
 from collections import deque
 from typing import NamedTuple
 
+from curlewhall.policy import Changes
+
 from .heap import IndexedHeap
 
 SECOND = 10_000
@@ -64,7 +66,7 @@
     """What a node or rack is asked for, from its last report and what this front has placed there since."""
 
     def __init__(self) -> None:
-        self.full, self.at, self.since = 0.0, -FRESH * 9, 0.0
+        self.full, self.at, self.placed = 0.0, -FRESH * 9, Changes(2 * FRESH)
 
 
 class Mover:
@@ -115,7 +117,7 @@
         """A play plays at a node. `ends`: when it is over by itself, where that is known."""
         seat = self.seats[play] = Seat(node, importance, paid, rate, cells, ends)
         self.at.setdefault(node, set()).add(play)
-        self.place(node, rate)
+        self.place(now, node, rate)
         if node in self.rooms and self.rooms[node].started:
             self.cold.setdefault(node, deque(maxlen=99)).append(now)  # whatever brought it there
         if node in self.plans:
@@ -134,7 +136,8 @@
         """A report of a node's link or its rack's uplink: asked over given."""
         if node in self.rooms:
             heard = self.heard[node] if kind == "link_asked" else self.racks[self.rooms[node].rack]
-            heard.full, heard.at, heard.since = value, now, 0.0
+            # Danger: notes tell of a time gone by; what was placed since then is not in them.
+            heard.full, heard.at = value, now - self.terms["specifics.told_late"]
         return ()
 
     def buffer(self, now: int, play: str, seconds: float):
@@ -228,7 +231,7 @@
         del self.seats[play]
         self.out.discard(play)
         self.at[seat.node].discard(play)
-        self.place(seat.node, -seat.rate)
+        self.place(now, seat.node, -seat.rate)
         plan = self.plans.get(seat.node)
         if plan is not None:
             plan.ready.drop(play)
@@ -295,10 +298,10 @@
 
     # ---- room
 
-    def place(self, node: str, rate: float) -> None:
+    def place(self, now: int, node: str, rate: float) -> None:
         if node in self.rooms:
-            self.heard[node].since += rate
-            self.racks[self.rooms[node].rack].since += rate
+            self.heard[node].placed.add(now, rate)
+            self.racks[self.rooms[node].rack].placed.add(now, rate)
 
     def holder(self, now: int, seat: Seat) -> bool:
         """Whether some node that holds the title shows room for the play, and can take a set-up now."""
@@ -312,7 +315,8 @@
         uplink = self.terms["specifics.uplink_kb"]
         for heard, given in ((self.heard[node], room.link), (self.racks[room.rack], uplink)):
             # what others may have placed since the report counts as much as this front's own
-            mine = max(0.0, heard.since) * self.terms["fronts"]
+            since = max(heard.at, now - 2 * FRESH)
+            mine = max(0.0, heard.placed.since(since)) * self.terms["fronts"]
             full = heard.full if now - heard.at <= FRESH else self.average(now)
             fullest = max(fullest, (full * given + mine + rate) / given)
         # Danger: the least product is capped at this front's slice of a node above the fraction, moved or
--- a/tests/moves/test_decide.py
+++ b/tests/moves/test_decide.py
@@ -11,7 +11,8 @@
 S = 10_000
 CARD = {"specifics.places": 2, "specifics.uplink_kb": 20_000.0, "specifics.kind_streams": [40],
         "fronts": 1, "rules.warm_within": 5 * S, "rules.fall": S, "rules.overload_factor": 4.0,
-        "rules.start_capacity": 0.4, "products": [{"importance": 1.0}, {"importance": 2.0}]}
+        "rules.start_capacity": 0.4, "specifics.told_late": 7000, "products": [{"importance": 1.0},
+                                                                               {"importance": 2.0}]}
 NODES = 4
 
 
@@ -116,6 +117,7 @@
         for i in range(held):
             rig.play(f"h{node}{i}", f"n{node}")
     rig.play("p", importance=importance)
+    rig.now += S  # notes come late: what was placed within their lateness is added to them
     rig.report(full)
     assert ends(rig.drain(0)) == (["p"] if moves else [])
 
