A front's sockets are closed in one place; a field that nothing read is gone

Cause: serve.py and the tests' town closed the same five things each on its own; a play's time of its last told buffer was kept and never read. Change: FrontProcess.close serves both; no behaviour changes.

--- a/curlewhall/front/serve.py
+++ b/curlewhall/front/serve.py
@@ -115,6 +115,10 @@
         while any(not held.answered for held in self.driver.plays.values()):
             await asyncio.sleep(0.01)
         await asyncio.sleep(0.05)  # the last answers go out
+        self.close()
+
+    def close(self) -> None:
+        """Close every socket and the state, whatever is under way."""
         self.follower.pool.close()
         self.nodes.close()
         self.server.close()
--- a/curlewhall/moves/decide.py
+++ b/curlewhall/moves/decide.py
@@ -44,12 +44,12 @@
 class Seat:
     """A play that this front holds: where, what it needs, what its viewer has in hand."""
 
-    __slots__ = ("node", "importance", "paid", "rate", "cells", "ends", "buffer", "tries", "out", "told")
+    __slots__ = ("node", "importance", "paid", "rate", "cells", "ends", "buffer", "tries", "out")
 
     def __init__(self, node, importance, paid, rate, cells, ends) -> None:
         self.node, self.importance, self.paid, self.rate = node, importance, paid, rate
         self.cells, self.ends = cells, ends
-        self.buffer, self.tries, self.out, self.told = None, 0, "", None
+        self.buffer, self.tries, self.out = None, 0, ""
 
 
 class Plan:
@@ -145,7 +145,7 @@
         seat = self.seats.get(play)
         if seat is None or seat.out:
             return ()
-        seat.buffer, seat.told = int(seconds * SECOND), now
+        seat.buffer = int(seconds * SECOND)
         plan = self.plans.get(seat.node)
         if plan is None:
             return ()
--- a/tests/front/town.py
+++ b/tests/front/town.py
@@ -82,12 +82,7 @@
     async def kill(self, front):
         """As kill -9 would: every socket closed, nothing said; the port is free after it."""
         front.driver.hear = lambda *facts, **named: None
-        front.follower.pool.close()
-        front.nodes.close()
-        front.server.close()
-        if front.peers.transport is not None:
-            front.peers.transport.close()
-        front.driver.keeper.close()
+        front.close()
         self.fronts.remove(front)
         await until(lambda: front.server.sock.fileno() < 0)
         await asyncio.sleep(0)  # the datagram socket is closed in the turn after
