A move is made only where the module itself finds room, and asked for again while it can

The module can now be asked, without effect, whether a play would find room (has_room: the stages of its own chain); the mover ends nothing before. A move declined all the same is asked for again with growing pauses while the viewer's buffer and limit last; nothing of it was ever out.

--- a/bench/moves.py
+++ b/bench/moves.py
@@ -101,7 +101,8 @@
         pending += mover.wake(now)
         events += 2
         for verb, name, *_ in pending:
-            if verb == "end":
+            if verb == "look":
+                mover.looked(now, name, True)
                 mover.ended_there(now, name)
                 mover.ended(now, name)
                 mover.arrived(now, name)
--- a/curlewhall/drills/movers.py
+++ b/curlewhall/drills/movers.py
@@ -12,6 +12,9 @@
     def holder(self, now, seat):
         return True
 
+    def declined(self, now, play, limit):
+        return ()
+
     def consider(self, now, play, seat, plan):
         if not seat.out:
             plan.ready.put(play, self.rank(seat))
@@ -24,7 +27,8 @@
             self.next_at = now
             if not begun:
                 return out
-            out += begun
+            for answer in begun:
+                out += self.looked(now, answer[1], True) if answer[0] == "look" else [answer]
 
 
 class Stay(Mover):
--- a/curlewhall/front/driver.py
+++ b/curlewhall/front/driver.py
@@ -248,6 +248,9 @@
     def decline(self, play: str, away: int) -> None:
         held = self.plays.get(play)
         if held is not None and not held.answered:
+            if held.moved_from and self.moves.declined(held):
+                self.forgo(held)
+                return
             self.close(held, "declined")
             self.log.info("declined", play=play, away_ms=away / 10)
             self.viewers.decline(held, away)
@@ -298,6 +301,14 @@
             held.guard.cancel()
             held.guard = None
 
+    def forgo(self, held: Held) -> None:
+        """A try of a move that was declined, nothing of it ever out: the next try owes the answer."""
+        held.answered = True
+        if held.guard is not None:
+            held.guard.cancel()
+            held.guard = None
+        self.plays.pop(held.facts.play, None)
+
     def drop(self, held: Held) -> None:
         if held.answered and not held.out and held.playing is None:
             self.plays.pop(held.facts.play, None)
--- a/curlewhall/front/serve.py
+++ b/curlewhall/front/serve.py
@@ -112,7 +112,7 @@
         """Take nothing new, answer what was taken, then close."""
         self.viewers.open = False
         self.server.stop()
-        while any(not held.answered for held in self.driver.plays.values()):
+        while self.driver.moves.between or any(not held.answered for held in self.driver.plays.values()):
             await asyncio.sleep(0.01)
         await asyncio.sleep(0.05)  # the last answers go out
         self.close()
--- a/curlewhall/front/viewers.py
+++ b/curlewhall/front/viewers.py
@@ -155,8 +155,12 @@
         return msgspec.structs.replace(facts, play=f"{self.front}-{self.boot:x}-{self.count:x}", number=0,
                                        rung=facts.floor)
 
-    def expect(self, old: str, held: Held) -> None:
-        """The viewer of `old` will come for the answer of `held`."""
+    def expect(self, old: str, held: Held, before: Held) -> None:
+        """The viewer of `old` will come for the answer of `held`; it may have come to the try `before`."""
+        if before.exchange is not None:
+            held.exchange, before.exchange = before.exchange, None
+            held.exchange.gone = lambda: self.driver.left(held)
+            return
         self.successors[old] = held
         while len(self.successors) > MOVED:
             self.successors.popitem(last=False)
--- a/curlewhall/moves/decide.py
+++ b/curlewhall/moves/decide.py
@@ -3,13 +3,16 @@
 Called once for each thing that happens with `now` (whole tenths of a millisecond); answers are tuples, the
 verb first, to be carried out in their order:
 
+- `("look", play)`: ask the module, without effect, whether it would place the play now. Told by `looked`.
 - `("end", play)`: end it at its node. What comes of it is told by `ended_there` or `kept`.
-- `("ask", play)`: ask the module for a new place, as moved. Told by `arrived` or `lost`.
+- `("ask", play)`: ask the module for a new place, as moved. Told by `arrived`, `declined` or `lost`.
+- `("again", play, span)`: the same once more after `span`, while its viewer's buffer lasts.
 - `("leave", play, why)`: it stays; its viewer comes again by itself when the node stops.
 - `("wake", span)`: call `wake` then.
 
-Danger: a move that is declined is a viewer lost. So nothing is ended before a holder shows room for it; and
-the old allocation has provably ended before the new one is asked for, so that never two are out.
+Danger: a move that is declined is a viewer lost. So nothing is ended before a holder shows room for it, by
+this front's reckoning of what all fronts move and by the module's own; and the old allocation has provably
+ended before the new one is asked for, so that never two are out.
 """
 
 from collections import deque
@@ -28,6 +31,8 @@
 FIRST_PAUSE, LONGEST_PAUSE = SECOND // 2, 4 * SECOND  # after a try that found no room; doubled each time
 TRIES = 8  # with the pauses above: some 25 s, about as long as an operator waits for a drain
 MOST_OUT = 8  # moves of one front under way at once; the fleet's part may be less
+# A move declined all the same is asked for again while its viewer has so much in hand: a set-up, a segment.
+FIRST_AGAIN, IN_HAND = SECOND // 10, SECOND  # a report that shows a full holder changes within some 400 ms
 SHORTEST, LONGEST = 200, SECOND // 2  # between two moves: 20 ms spares the loop, half a second keeps in step
 
 
@@ -44,12 +49,14 @@
 class Seat:
     """A play that this front holds: where, what it needs, what its viewer has in hand."""
 
-    __slots__ = ("node", "importance", "paid", "rate", "cells", "ends", "buffer", "tries", "out")
+    __slots__ = ("node", "importance", "paid", "rate", "cells", "ends", "buffer", "tries", "out",
+                 "asks", "lasts")
 
     def __init__(self, node, importance, paid, rate, cells, ends) -> None:
         self.node, self.importance, self.paid, self.rate = node, importance, paid, rate
         self.cells, self.ends = cells, ends
-        self.buffer, self.tries, self.out = None, 0, ""
+        self.buffer, self.tries, self.out = None, 0, ""  # out: "look", "end" or "ask", as told above
+        self.asks, self.lasts = 0, 0  # asked for so often; until when its viewer bridges the gap
 
 
 class Plan:
@@ -156,12 +163,22 @@
             plan.ready.put(play, self.rank(seat))
         return self.work(now)
 
+    def looked(self, now: int, play: str, room: bool):
+        """Whether the module would place the play now."""
+        seat = self.seats.get(play)
+        if seat is None or seat.out != "look":
+            return ()
+        if room:
+            seat.out = "end"
+            return [("end", play)]
+        return self.stays(now, play, seat)
+
     def ended_there(self, now: int, play: str):
         """The old allocation has provably ended: the new one may be asked for."""
         seat = self.seats.get(play)
         if seat is None or seat.out != "end":
             return ()
-        seat.out = "ask"
+        seat.out, seat.lasts = "ask", now + min(seat.buffer or 0, 30 * SECOND) - IN_HAND
         return [("ask", play)]
 
     def kept(self, now: int, play: str):
@@ -169,6 +186,9 @@
         seat = self.seats.get(play)
         if seat is None or seat.out != "end":
             return ()
+        return self.stays(now, play, seat)
+
+    def stays(self, now: int, play: str, seat: Seat):
         self.out.discard(play)
         seat.out, plan = "", self.plans.get(seat.node)
         if plan is not None:
@@ -179,8 +199,17 @@
         """The moved play plays elsewhere; it is told by `playing` under its new name."""
         return self.finish(now, play, "moved")
 
+    def declined(self, now: int, play: str, limit: int):
+        """The module declined it; it can be asked for again until `limit`. Empty: it is lost."""
+        seat = self.seats.get(play)
+        if seat is None or seat.out != "ask":
+            return ()
+        pause = FIRST_AGAIN * 2 ** min(seat.asks, 3)
+        seat.asks += 1
+        return [("again", play, pause)] if now + pause < min(limit, seat.lasts) else ()
+
     def lost(self, now: int, play: str):
-        """The module declined or failed the moved play."""
+        """The module's last word: the moved play was declined or failed, or its viewer is gone."""
         return self.finish(now, play, "lost")
 
     def wake(self, now: int):
@@ -270,12 +299,12 @@
                 out += self.told
                 self.told = []
                 continue
-            seat.out = "end"
+            seat.out = "look"
             self.out.add(play)
             waiting = len(plan.ready) + len(plan.later) + 1
             # half of the time that is left is for the moves, the other half for what goes wrong
             self.next_at = now + max(SHORTEST, min(LONGEST, (plan.deadline - now) // 2 // waiting))
-            out.append(("end", play))
+            out.append(("look", play))
         due = self.due(now)
         if due is not None and (self.woken is None or due < self.woken):
             self.woken = due
--- a/curlewhall/moves/run.py
+++ b/curlewhall/moves/run.py
@@ -10,6 +10,7 @@
 
     def __init__(self, driver, timers, mover: Mover) -> None:
         self.driver, self.timers, self.mover = driver, timers, mover
+        self.between: set[str] = set()  # plays moved and declined once, about to be asked for again
 
     # ---- what happens
 
@@ -52,6 +53,25 @@
     def buffer(self, play: str, seconds: float) -> None:
         self.carry(self.mover.buffer(self.driver.clock.now(), play, seconds))
 
+    def declined(self, held) -> bool:
+        """The module declined a moved play: whether it will be asked for again, and no answer goes out."""
+        old, driver = held.moved_from, self.driver
+        if held.closed:
+            return False
+        answers = self.mover.declined(driver.clock.now(), old, held.limit)
+        for _, play, pause in answers:
+            self.between.add(play)
+            self.timers.after(pause / 10_000, self.ask_again, play, held)
+        return bool(answers)
+
+    def ask_again(self, play: str, held) -> None:
+        """The next try takes over the viewer, where it has come for its answer by now."""
+        self.between.discard(play)
+        if held.exchange is not None and not held.exchange.open:
+            self.lost(held, "left")
+        else:
+            self.carry_ask(play, held)
+
     def lost(self, held, how: str) -> None:
         """The module said no to a moved play, or its viewer hung up meanwhile."""
         old, held.moved_from = held.moved_from, ""
@@ -76,6 +96,16 @@
     def carry_leave(self, play: str, why: str) -> None:
         self.driver.log.info("left where it is", play=play, why=why)
 
+    def carry_look(self, play: str) -> None:
+        driver = self.driver
+        held, ask = driver.plays.get(play), getattr(driver.module, "has_room", None)
+        room = held is not None and held.playing is not None
+        if room and ask is not None:  # baselines can't be asked
+            facts, title = held.facts, held.title
+            room = ask(driver.clock.now(), play, facts.product, facts.customer, facts.viewer, facts.title,
+                       title.first_place, title.places, facts.top)
+        self.carry(self.mover.looked(driver.clock.now(), play, room))
+
     def carry_end(self, play: str) -> None:
         held = self.driver.plays.get(play)
         if held is None or held.playing is None:
@@ -99,13 +129,14 @@
 
     def carry_ask(self, play: str, old) -> None:
         """Ask the module for a new place, under a new id; the viewer comes for the answer by the manifest's
-        Location when its node tells it that the play has gone.
+        Location when its node tells it that the play has gone. `old`: the play, or its last try.
         """
         driver = self.driver
         facts = driver.viewers.next_facts(old.facts)
         now = driver.clock.now()
         terms = driver.viewers.products[facts.product][1]
-        held = type(old)(facts, old.title, None, now + terms["time_limit"] - driver.viewers.margin, now)
+        limit = old.limit if old.moved_from else now + terms["time_limit"] - driver.viewers.margin
+        held = type(old)(facts, old.title, None, limit, now)
         held.moved_from = play
-        driver.viewers.expect(play, held)
+        driver.viewers.expect(play, held, old)
         driver.asked(held, again=True, moved=True)
--- a/curlewhall/policy.py
+++ b/curlewhall/policy.py
@@ -223,6 +223,24 @@
                 self.plays.pop(play)
         return self.said()
 
+    def has_room(self, now, play, product, customer, viewer, title, first_place, places, top_rung):
+        """Whether a play under way would get a node if it were moved now; nothing is changed by the question.
+
+        Danger: what is ended first and declined then is a viewer lost. So the same stages are asked.
+        """
+        old, draws = self.plays.get(play), self.draws
+        if old:
+            old.title = None  # its own seat is free by then
+        limit = now + SECOND
+        ply = self.take(now, "", product, customer, viewer, title, limit, first_place, places, top_rung)
+        chain = (self.holding, self.streaming, self.warming, self.capping, self.fitting)
+        found = all(ahead(now, ply) is PASS for ahead in chain)
+        if old:
+            old.title = title
+        self.plays.pop("", None)
+        self.draws, self.out = draws, []
+        return found
+
     # ---- the chain
 
     def run(self, now, ply):
--- a/tests/front/test_moves.py
+++ b/tests/front/test_moves.py
@@ -46,6 +46,81 @@
         assert not place.fronts[0].driver.moves.progress()[first]["held"]
 
 
+class Shy(TwoDrawn):
+    """Says that there is room and then declines a moved play, `refusals` times over."""
+
+    refusals = 0
+
+    def has_room(self, *facts):
+        return True
+
+    def asked(self, now, play, *facts):
+        if facts[-2] and Shy.refusals:
+            Shy.refusals -= 1
+            return [("decline", play, 0)]
+        return super().asked(now, play, *facts)
+
+
+@looped
+@pytest.mark.parametrize(("refusals", "early", "status"), [(2, False, 200), (2, True, 200), (99, True, 503)])
+async def test_a_move_that_the_module_declines_is_asked_for_again_while_the_buffer_lasts(tmp_path, refusals,
+                                                                                        early, status):
+    async with town(tmp_path, Shy, nodes=4) as place:
+        Shy.refusals = refusals
+        front = place.fronts[0]
+        _, plan = await place.ask()
+        held, = front.driver.plays.values()
+        front.driver.moves.buffer(held.facts.play, 3.0)
+        place.fault("drain", nodes=[held.node])
+        await until(lambda: front.driver.moves.between)
+        if not early:
+            await until(lambda: front.driver.counts["moved"])
+        message = await follow(place, plan)  # early: the answer is waited for over all tries
+        assert message.status == status
+        if status == 200:
+            assert front.driver.counts["moved"] == 1 and front.driver.counts["declined"] == 0
+            assert (await place.segment(manifest.read(message.body), 2)).status == 200
+        else:
+            assert front.driver.counts["declined"] == 1 and len(at(place)) == 1
+        assert not front.driver.moves.between
+
+
+@looped
+async def test_a_viewer_who_leaves_between_two_tries_ends_the_move(tmp_path):
+    async with town(tmp_path, Shy, nodes=4) as place:
+        Shy.refusals = 99
+        front = place.fronts[0]
+        _, plan = await place.ask()
+        held, = front.driver.plays.values()
+        front.driver.moves.buffer(held.facts.play, 30.0)
+        place.fault("drain", nodes=[held.node])
+        await until(lambda: front.driver.moves.between)
+        ask = place.pool.ask(request_bytes("GET", "/" + plan.location.split("/", 3)[3], place.pool.host), 20,
+                             lambda reply: None)
+        await until(lambda: front.server.connections and any(line.exchanges for line in
+                                                             front.server.connections))
+        ask.withdraw()
+        await until(lambda: not front.driver.moves.mover.seats and not front.driver.plays)
+        assert len(at(place)) == 1 and not front.driver.moves.between
+
+
+@looped
+async def test_the_modules_look_for_room_changes_nothing(tmp_path):
+    async with town(tmp_path, nodes=4) as place:
+        _, plan = await place.ask(product="paid")
+        module = place.fronts[0].driver.module
+        held, = place.fronts[0].driver.plays.values()
+        now = place.fronts[0].driver.clock.now()
+        before = (module.draws, list(module.out), sorted(module.plays), [len(n.plays) for n in
+                                                                        module.nodes.values()])
+        for count in (7, 0):  # every place, or none
+            found = module.has_room(now, held.facts.play, "paid", "", "v", "clip-00", 0, count, 3)
+            assert found == bool(count)
+        assert before == (module.draws, list(module.out), sorted(module.plays),
+                          [len(n.plays) for n in module.nodes.values()])
+        assert module.plays[held.facts.play].title == "clip-00"
+
+
 @looped
 async def test_the_only_holder_keeps_its_plays(tmp_path):
     async with town(tmp_path, TwoDrawn, nodes=1) as place:
--- a/tests/moves/test_decide.py
+++ b/tests/moves/test_decide.py
@@ -22,6 +22,7 @@
     def __init__(self, now=100 * S, within=20 * S, **card):
         self.now, self.mover = now, Mover(now, CARD | card, within)
         self.states, self.started, self.said = ["serving"] * NODES, [0] * NODES, []
+        self.room = True  # whether the module would place any play
         self.list()
         self.report(0.2)
 
@@ -36,7 +37,11 @@
             self.hear("report", f"n{i}", "uplink_asked", full)
 
     def hear(self, name, *facts):
-        said = list(getattr(self.mover, name)(self.now, *facts))
+        """What is said, the module's room looked for at once."""
+        said = []
+        for answer in getattr(self.mover, name)(self.now, *facts):
+            found = [answer] if answer[0] != "look" else self.mover.looked(self.now, answer[1], self.room)
+            said += found
         self.said += said
         return said
 
@@ -196,6 +201,36 @@
     assert ends(rig.said) == ["p", "p"] and rig.hear("ended_there", "p") == []
 
 
+def test_nothing_is_ended_that_the_module_would_not_place():
+    rig = Rig(within=60 * S)
+    rig.room = False
+    rig.play("p")
+    rig.drain(0)
+    rig.run(5 * S)
+    assert ends(rig.said) == [] and rig.mover.seats["p"].tries > 2
+    rig.room = True
+    rig.run(5 * S)
+    assert ends(rig.said) == ["p"]
+
+
+@pytest.mark.parametrize(("buffer", "limit", "tries"), [
+    (4.0, 99 * S, 5), (2.0, 99 * S, 3), (4.0, S // 2, 2), (None, 99 * S, 0), (1.0, 99 * S, 0)])
+def test_a_declined_move_is_asked_again_while_the_buffer_and_the_limit_last(buffer, limit, tries):
+    rig = Rig()
+    rig.play("p", buffer=buffer)
+    rig.drain(0)
+    rig.now = rig.mover.plans["n0"].deadline - S  # with little in hand it goes at the end only
+    rig.wait(1)
+    rig.hear("ended_there", "p")
+    limit, pauses = rig.now + limit, []
+    while again := rig.hear("declined", "p", limit):
+        pauses += [span for _, _, span in again]
+        rig.now += pauses[-1]
+    assert len(pauses) == tries and pauses == sorted(pauses)
+    rig.hear("lost", "p")
+    assert "p" not in rig.mover.seats and not rig.mover.out
+
+
 def test_a_lost_move_is_counted_and_not_tried_again():
     rig = Rig()
     rig.play("p")
@@ -285,6 +320,16 @@
                 self.ended.discard(name)
             self.told(self.rig.hear("ended_there" if sure else "kept", name))
 
+    @rule(room=st.booleans())
+    def module_finds(self, room):
+        self.rig.room = room
+
+    @rule(name=names, limit=st.integers(0, 5 * S))
+    def module_declines(self, name, limit):
+        if name in self.asked:
+            for _, play, pause in self.rig.hear("declined", name, self.rig.now + limit):
+                assert play == name and 0 < pause < limit
+
     @rule(name=names, how=st.sampled_from(["arrived", "lost"]))
     def module_answers(self, name, how):
         if name in self.asked:
