A daemon whose front hands sockets, connections and plays to a successor

A successor gets the list, the reports, the plays, the state and open connections over a channel (SCM_RIGHTS); the module is told again what happened, at the times at which it did, so that no node is taken for cold. A successor that fails leaves all to the old one. Accepting no longer holds a connection in a cancelled task.

--- a/curlewhall/cli/main.py
+++ b/curlewhall/cli/main.py
@@ -9,7 +9,8 @@
 from rich.console import Console
 from rich.table import Table
 
-from . import logs
+from . import daemon, logs
+from .files import settings_of
 
 SHOWN = 12  # records shown of a broken rule
 
@@ -20,19 +21,6 @@
     """A session front: places video plays on streaming servers and shapes them there."""
 
 
-def settings_of(path: str):
-    """The checked file; a wrong one ends the command with every complaint and code 2."""
-    from curlewhall.settings import WrongFile, load
-
-    try:
-        return load(path)
-    except WrongFile as err:
-        click.echo(str(err), err=True)
-    except OSError as err:
-        click.echo(f"{path}: {err.strerror}", err=True)
-    sys.exit(2)
-
-
 @main.command()
 @click.argument("file", type=click.Path(dir_okay=False))
 @click.option("--policy", default=None, metavar="MODULE:CLASS",
@@ -150,3 +138,7 @@
     from . import draining
 
     sys.exit(draining.drain(node, fronts, back, wait, Console()))
+
+
+for command in (daemon.start, daemon.status, daemon.stop, daemon.restart, daemon.reload):
+    main.add_command(command)
--- a/curlewhall/drills/fleet.py
+++ b/curlewhall/drills/fleet.py
@@ -11,6 +11,7 @@
 import signal
 import subprocess
 import sys
+import threading
 import time
 import urllib.request
 from itertools import count
@@ -18,6 +19,7 @@
 
 from google.protobuf import text_format
 
+from curlewhall.daemon.control import NotThere, ask
 from curlewhall.records import Writer
 from curlewhall.settings import front_pb2
 
@@ -136,6 +138,8 @@
     file.tokens.key_file, file.tokens.life_s = plan["key_file"], 600
     file.limits.answer_margin_ms = 100
     file.moves.drain_within_ms = int(1000 * plan.get("drain_within", 8.0))
+    if plan.get("daemon"):
+        file.daemon.folder, file.daemon.workers = daemon_folder(plan, index), plan["daemon"]
     if plan.get("durability"):
         file.state.folder = str(Path(plan["folder"]) / f"{front['name']}.state")
         file.state.durability = int(plan["durability"] == "strict")
@@ -143,6 +147,10 @@
     return text_format.MessageToString(file)
 
 
+def daemon_folder(plan: dict, index: int) -> str:
+    return str(Path(plan["folder"]) / f"{plan['fronts'][index]['name']}.daemon")
+
+
 class Processes:
     """The processes of a plan, and what is done to them. Used as a context: all are ended at its end."""
 
@@ -154,6 +162,8 @@
         self.fleet = self.crowd = None
         self.records = Writer(plan["records"]["drill"])
         self.logs: list = []
+        self.told: list[dict] = []  # what daemons answered
+        self.telling: list[threading.Thread] = []
 
     def __enter__(self) -> "Processes":
         # Danger: a drill that is told to end would leave its processes behind.
@@ -202,7 +212,8 @@
         self.since = path.stat().st_size if path.exists() else 0
         self.records.write("drill", "started", front=name)
         file = str(self.folder / f"{name}.textproto")
-        self.fronts[name] = self.spawn(name, ["curlewhall", "serve", file, *self.named])
+        how = "start" if self.plan.get("daemon") else "serve"
+        self.fronts[name] = self.spawn(name, ["curlewhall", how, file, *self.named])
 
     def await_front(self, name: str) -> None:
         self.await_line(self.fronts[name], '"ready"', name)
@@ -215,6 +226,23 @@
             process.wait()
             self.records.write("drill", "killed", front=name)
 
+    def tell_daemon(self, name: str, what: str) -> None:
+        """Say `restart` or `stop` to a front's daemon, in the background; what came of it is recorded."""
+        index = [front["name"] for front in self.plan["fronts"]].index(name)
+
+        def say() -> None:
+            began = time.monotonic()
+            try:
+                reply = ask(Path(daemon_folder(self.plan, index)), what)
+            except NotThere as err:
+                reply = {"ok": False, "text": str(err)}
+            self.told.append({"front": name, "do": what, "ok": reply["ok"], "text": reply["text"],
+                              "span": round(time.monotonic() - began, 3)})
+
+        thread = threading.Thread(target=say, daemon=True)
+        thread.start()
+        self.telling.append(thread)
+
     def start_crowd(self) -> None:
         self.crowd = self.spawn("crowd", ["curlewhall.standins.crowd", str(self.folder / "plan.json")])
 
@@ -236,6 +264,10 @@
 
     def end(self) -> None:
         """End what runs, gently first; the records are whole after that."""
+        for thread in self.telling:
+            thread.join(5)
+        for row in self.told:
+            self.records.write("drill", "daemon", **row)
         running = [p for p in [self.crowd, *self.fronts.values(), self.fleet] if p is not None]
         for process in running:
             if process.poll() is None:
--- a/curlewhall/drills/play.py
+++ b/curlewhall/drills/play.py
@@ -94,5 +94,7 @@
         processes.kill_front(*facts)
     elif what == "front":
         processes.start_front(*facts)
+    elif what == "daemon":
+        processes.tell_daemon(*facts)
     else:
         raise ValueError(f"a step {what!r} that nobody knows")
--- a/curlewhall/front/driver.py
+++ b/curlewhall/front/driver.py
@@ -34,7 +34,7 @@
     """A play: its request, its allocations by number, and what is in force."""
 
     __slots__ = ("facts", "title", "exchange", "limit", "rung", "number", "offset", "node", "out", "playing",
-                 "answered", "closed", "stash", "guard", "taken", "moved_from", "kept")
+                 "answered", "closed", "stash", "guard", "taken", "moved_from", "kept", "target")
 
     def __init__(self, facts: Facts, title: Title, exchange: Exchange | None, limit: int, taken: int) -> None:
         self.facts, self.title, self.exchange, self.limit, self.taken = facts, title, exchange, limit, taken
@@ -45,6 +45,7 @@
         self.stash: list = []  # what the node told of an allocation before its set-up's answer was read
         self.guard = None
         self.moved_from = ""  # the play that this one goes on with, on another node
+        self.target = ""  # the node of its latest allocation
         self.kept: tuple | None = None  # an answer whose viewer has yet to come for it
 
 
@@ -75,17 +76,19 @@
     """Owns one instance of the module. `viewers`, `nodes` and `peers` are set before the first call."""
 
     def __init__(self, make: Callable, seed: int, card: dict, timers, log,
-                 clock: Clock | None = None) -> None:
+                 clock: Clock | None = None, born: int | None = None) -> None:
         self.clock, self.timers, self.log, self.card = clock or Clock(), timers, log, card
         self.inbox: deque = deque()
         self.busy = False
         self.plays: dict[str, Held] = {}
         self.viewers = self.nodes = self.peers = self.moves = None
         self.keeper = NoKeeper()
+        self.heir = None  # once this front hands over: what goes on elsewhere is told to it
+        self.elsewhere: dict[str, Held] = {}  # plays that this front's predecessor is still setting up
         self.counts = dict.fromkeys(("asked", "played", "declined", "failed", "left", "ended", "guarded",
                                      "faults", "allocations", "resumed", "moved"), 0)
         self.paid = {p["name"]: p["idempotency"] != "pure" for p in card.get("products", ())}
-        self.module = make(self.clock.now(), seed, card)
+        self.module = make(self.clock.now() if born is None else born, seed, card)
         self.verbs = {"allocate": self.allocate, "rung": self.set_rung, "decline": self.decline,
                       "fail": self.fail, "withdraw": self.withdraw, "move": self.move, "probe": self.probe,
                       "tell": self.tell, "wake": self.wake, "log": self.say}
@@ -94,15 +97,20 @@
 
     def hear(self, name: str, *facts, **named) -> None:
         """Call the module's `name`; its answers are carried out before the next call is made."""
-        self.inbox.append((name, facts, named))
+        self.hear_of(None, name, *facts, **named)
+
+    def hear_of(self, then: int | None, name: str, *facts, **named) -> None:
+        """The same for what happened `then`, before this process began; None: now."""
+        self.inbox.append((then, name, facts, named))
         if self.busy:
             return
         self.busy = True
         try:
             while self.inbox:
-                name, facts, named = self.inbox.popleft()
+                then, name, facts, named = self.inbox.popleft()
                 try:
-                    answers = getattr(self.module, name)(self.clock.now(), *facts, **named)
+                    now = self.clock.now() if then is None else then
+                    answers = getattr(self.module, name)(now, *facts, **named)
                 except Exception:
                     # Danger: one bad call must not cost the other plays; the guard answers for this one.
                     self.counts["faults"] += 1
@@ -166,6 +174,8 @@
         if not held.answered:
             self.close(held, "played")
             self.viewers.play(held, number + held.offset)
+            if self.heir is not None:
+                self.heir.passed(held)
             self.moves.playing(held)
         stash, held.stash = held.stash, []
         for event in stash:
@@ -225,7 +235,7 @@
             self.log.error("an allocation for a play not held", play=play, node=node)
             return
         held.number += 1
-        number = held.number
+        number, held.target = held.number, node
         self.counts["allocations"] += 1
         self.log.info("allocate", play=play, allocation=number, node=node, rung=held.rung, span_ms=span / 10)
         if number and not self.keeper.may():
@@ -295,6 +305,8 @@
         """The play has its answer, or needs none any more."""
         held.answered = True
         self.counts[what] += 1
+        if self.heir is not None and what != "played":
+            self.heir.lost(held)
         if held.moved_from and what != "played":
             self.moves.lost(held, what)
         if held.guard is not None:
--- a/curlewhall/front/listing.py
+++ b/curlewhall/front/listing.py
@@ -2,6 +2,7 @@
 
 import os
 import time
+from collections.abc import Callable
 from pathlib import Path
 
 from curlewhall.wire import forms
@@ -25,11 +26,13 @@
         self.titles: dict[str, forms.Title] = {}
         self.version, self.tries = 0, 0
         self.lines, self.stream, self.silence, self.failing = forms.Lines(), None, None, False
+        self.leaving = False  # the successor follows; what it hears is told to this front
+        self.tell: Callable[[forms.Listing], None] | None = None  # a predecessor that hears through this one
         self.drained: set[str] = set()  # by this front's operator, whatever the list says
 
     def start(self) -> None:
         """Believe the kept list, if there is one, until the service says more; then subscribe."""
-        if self.kept and os.path.exists(self.kept):
+        if self.kept and os.path.exists(self.kept) and not self.rows:
             try:
                 old = forms.decode(forms.Listing, Path(self.kept).read_bytes())
                 self.take(old, "old_copy")
@@ -88,6 +91,8 @@
         self.driver.listed(how, [module_row(row, now, unix) for row in rows])
         self.driver.moves.listed([self.shown(row) for row in self.rows.values() if row.state != "gone"], now,
                                  unix)
+        if self.tell is not None:
+            self.tell(listing)
         self.driver.log.info("list", how=how, version=listing.version, rows=len(rows))
         if how != "old_copy":
             self.keep()
@@ -104,9 +109,22 @@
         if node in self.rows:
             self.take(forms.Listing("changes", self.version, self.version, [self.rows[node]]), "changes")
 
+    def leave(self) -> None:
+        """Danger: two subscriptions under one name, each taken for the other's death, end each other."""
+        self.leaving = True
+        if self.silence is not None:
+            self.silence.cancel()
+
+    def come_back(self) -> None:
+        self.leaving = False
+        if self.stream is None:
+            self.subscribe()
+        else:
+            self.listen()
+
     def keep(self) -> None:
         """Write what is known beside the old file and put it in its place: never half a list on disk."""
-        if not self.kept:
+        if not self.kept or self.leaving:
             return
         rows = [row for row in self.rows.values() if row.state != "gone"]
         whole = forms.Listing("whole", self.version, 0, rows, list(self.titles.values()))
@@ -119,7 +137,8 @@
     def ended(self, reply: Reply) -> None:
         if self.silence is not None:
             self.silence.cancel()
-        if self.pool.closed:
+        if self.pool.closed or self.leaving:
+            self.stream = None
             return
         if not self.failing:
             self.failing = True
@@ -128,3 +147,6 @@
         pause = PAUSES[min(self.tries, len(PAUSES) - 1)]
         self.tries += 1
         self.driver.timers.after(pause, self.subscribe)
+
+    def close(self) -> None:
+        self.pool.close()
--- a/curlewhall/front/nodes.py
+++ b/curlewhall/front/nodes.py
@@ -28,6 +28,8 @@
         self.stream: Ask | None = None
         self.lines = forms.Lines()
         self.tries, self.greeted, self.pause = 0, False, None
+        self.since = 0  # when it was first known, or last lost from sight: the module's time
+        self.handed = False  # known from the predecessor, and not heard of by this process yet
 
 
 class Nodes:
@@ -38,6 +40,7 @@
         self.connect, self.probe_limit = connect, probe_limit
         self.nodes: dict[str, Node] = {}
         self.started = time.monotonic()
+        self.leaving = False  # the successor has the streams
 
     # ---- the list
 
@@ -53,6 +56,7 @@
                     continue
                 node = Node(row, Pool(self.loop, self.timers, row.address, row.port, connect=self.connect))
                 self.nodes[row.node] = node
+                node.since = self.driver.clock.now()
             elif row.started_ms > node.row.started_ms or row.state == "gone":
                 # Danger: a connection of the process before is dead, or leads to who knows whom.
                 node.pool.drop_idle()
@@ -154,7 +158,7 @@
     def follow(self, node: Node) -> None:
         """Ask for the node's stream unless it is open or about to be."""
         node.pause = None
-        if node.stream is not None or self.nodes.get(node.row.node) is not node:
+        if self.leaving or node.stream is not None or self.nodes.get(node.row.node) is not node:
             return
         if node.row.state == "gone":
             self.lost(node.row.node)  # no stream, and the list says why
@@ -176,8 +180,9 @@
 
     def stream_ended(self, node: Node, reply: Reply) -> None:
         node.stream = None
-        if node.pool.closed:
+        if node.pool.closed or self.leaving:
             return
+        node.since = self.driver.clock.now()
         if reply.ending == "unreached":
             # Refused: the process is gone and its plays with it.
             self.lost(node.row.node)
@@ -218,13 +223,16 @@
             self.driver.log.warning("a stranger answers at a node's address", node=name, found=event.node)
             return
         there = {facts.play: facts for facts in event.plays}
-        self.driver.keeper.spoke(name, there)
+        elsewhere = self.driver.elsewhere
+        self.driver.keeper.spoke(name, there.keys() | elsewhere.keys())
         node.tries = 0
+        # what ended between the predecessor's word and this one did not break off
+        how, node.handed = "ok" if node.handed else "broken", False
         for play, held in list(self.driver.plays.items()):
             if held.node == name and held.playing is not None and play not in there:
-                self.driver.play_ended(play, "broken")
+                self.driver.play_ended(play, how)
         for play, facts in there.items():
-            if play not in self.driver.plays:
+            if play not in self.driver.plays and play not in elsewhere:
                 title = self.driver.viewers.titles.get(facts.title)
                 if node.greeted or title is None or facts.product not in self.driver.viewers.products:
                     self.end(name, play, facts.number, "unknown")
--- a/curlewhall/front/serve.py
+++ b/curlewhall/front/serve.py
@@ -4,6 +4,7 @@
 import importlib
 import os
 import signal
+import socket
 from collections.abc import Callable
 
 import uvloop
@@ -13,7 +14,8 @@
 from curlewhall.moves.run import Moves
 from curlewhall.recovery.form import Newer
 from curlewhall.recovery.run import Keeper
-from curlewhall.recovery.store import Busy, Files, Store
+from curlewhall.recovery.state import State
+from curlewhall.recovery.store import Busy, Files, Memory, Store
 from curlewhall.settings import rate_card
 from curlewhall.settings.front_pb2 import STRICT, FrontFile
 from curlewhall.wire.client import Pool
@@ -56,18 +58,19 @@
 
 class FrontProcess:
     """A front within a running loop; `start` opens its sockets, `stop` answers what it took and closes
-    them.
+    them. `coming`: what a predecessor hands over (`daemon.handover.Coming`), None for one that starts alone.
     """
 
     def __init__(self, file: FrontFile, log, make: Callable | None = None,
-                 mover: Callable | None = None) -> None:
-        self.file, self.log = file, log
+                 mover: Callable | None = None, coming=None) -> None:
+        self.file, self.log, self.coming = file, log, coming
         self.loop = asyncio.get_running_loop()
         self.timers = Timers(self.loop)
         boot = int.from_bytes(os.urandom(4), "big")
         name, card = file.identity.name, rate_card(file)
         seed = file.identity.seed or boot
-        self.driver = Driver(make or policy(POLICY), seed, card, self.timers, log)
+        self.driver = Driver(make or policy(POLICY), seed, card, self.timers, log,
+                             born=coming.born() if coming is not None else None)
         margin = file.limits.answer_margin_ms if file.limits.HasField("answer_margin_ms") else 100
         where = file.listen
         url = where.public_url.rstrip("/") or f"http://{where.address}:{where.port}"
@@ -82,48 +85,101 @@
         service = Pool(self.loop, self.timers, file.list_service.address, file.list_service.port)
         self.follower = Follower(self.driver, service, name, file.list_service.kept_file)
         self.viewers.follower = self.follower
-        if file.state.folder:
-            window = file.rules.look_back_ms
-            files = Files(file.state.folder, window, tell=lambda what, **facts: log.warning(what, **facts))
-            files.open()
-            store = Store(files, self.loop, self.timers, log)
-            self.driver.keeper = Keeper(store, file.state.durability == STRICT, card)
+        self.open_store()
         drain_within = 10 * (file.moves.drain_within_ms or 30_000)
         self.driver.moves = Moves(self.driver, self.timers, (mover or Mover)(
             self.driver.clock.now(), card, drain_within))
         self.server = None
+        if coming is not None:
+            coming.take_up(self)
+
+    def open_store(self) -> None:
+        """The state's folder, or the budget's window alone where there is none.
+
+        `Busy`, `Newer`, `OSError`: the folder can't be had.
+        """
+        file, log = self.file, self.log
+        if file.state.folder:
+            files = Files(file.state.folder, file.rules.look_back_ms,
+                          tell=lambda what, **facts: log.warning(what, **facts))
+            state = files.open()
+            store = Store(files, self.loop, self.timers, log)
+        else:
+            state = State(file.rules.look_back_ms)
+            for entry in self.coming.entries if self.coming is not None else ():
+                state.apply(entry)
+            store = Memory(state, self.loop)
+        strict = bool(file.state.folder) and file.state.durability == STRICT
+        self.driver.keeper = Keeper(store, strict, self.driver.card, state)
+
+    def open_peers(self) -> None:
+        """`OSError` where the address is taken."""
+        where = self.file.listen
+        if where.peer_port:
+            address = where.peer_address or where.address
+            family = socket.AF_INET6 if ":" in address else socket.AF_INET
+            sock = socket.socket(family, socket.SOCK_DGRAM)
+            try:
+                sock.setblocking(False)
+                sock.bind((address, where.peer_port))
+            except OSError:
+                sock.close()
+                raise
+            self.peer_task = self.loop.create_task(
+                self.loop.create_datagram_endpoint(lambda: self.peers, sock=sock))
+
+    def close_peers(self) -> None:
+        if self.peers.transport is not None:
+            self.peers.transport.close()
+            self.peers.transport = None
 
-    async def start(self) -> None:
+    async def start(self, sock: socket.socket | None = None) -> None:
+        """Serve on `sock`, a listening socket, or on one of its own."""
         where = self.file.listen
         # every socket is there before anything is told: nothing starts half
-        sock = listen(where.address, where.port)
+        own = sock is None
+        sock = listen(where.address, where.port) if own else sock
         try:
-            if where.peer_port:
-                await self.loop.create_datagram_endpoint(
-                    lambda: self.peers, local_addr=(where.peer_address or where.address, where.peer_port))
+            self.open_peers()
         except OSError:
-            sock.close()
+            if own:
+                sock.close()
             raise
         self.server = Server(self.loop, self.timers, sock, self.viewers.handle, limits(self.file))
         self.follower.start()
         self.log.info("ready", front=self.file.identity.name, address=where.address, port=where.port)
 
+    def owes(self) -> bool:
+        """Whether an answer is owed to somebody."""
+        return bool(self.driver.moves.between) or any(
+            not held.answered for held in self.driver.plays.values())
+
+    def hurry(self) -> None:
+        """Danger: a stop that is to be short must still answer. What is under way is failed and ended."""
+        for held in list(self.driver.plays.values()):
+            if not held.answered:
+                self.driver.overdue(held)
+
     async def stop(self) -> None:
-        """Take nothing new, answer what was taken, then close."""
+        """Take nothing new, answer what was taken, then close.
+
+        New plays get 503 with Retry-After meanwhile, over old connections and new ones.
+        """
         self.viewers.open = False
-        self.server.stop()
-        while self.driver.moves.between or any(not held.answered for held in self.driver.plays.values()):
+        while self.owes():
             await asyncio.sleep(0.01)
+        if self.server is not None:
+            self.server.pause()
         await asyncio.sleep(0.05)  # the last answers go out
         self.close()
 
     def close(self) -> None:
         """Close every socket and the state, whatever is under way."""
-        self.follower.pool.close()
+        self.follower.close()
         self.nodes.close()
-        self.server.close()
-        if self.peers.transport is not None:
-            self.peers.transport.close()
+        if self.server is not None:
+            self.server.close()
+        self.close_peers()
         self.driver.keeper.close()
 
 
--- a/curlewhall/front/viewers.py
+++ b/curlewhall/front/viewers.py
@@ -141,7 +141,7 @@
         del self.successors[old]
         if held.kept is not None:
             if held.kept[0] != 200 or held.playing is None:
-                return False
+                return False  # it came to nothing, or is over
             exchange.reply(*held.kept)
             held.kept = None
         else:
--- a/curlewhall/moves/run.py
+++ b/curlewhall/moves/run.py
@@ -56,7 +56,7 @@
     def declined(self, held) -> bool:
         """The module declined a moved play: whether it will be asked for again, and no answer goes out."""
         old, driver = held.moved_from, self.driver
-        if held.closed:
+        if held.closed or driver.heir is not None:
             return False
         answers = self.mover.declined(driver.clock.now(), old, held.limit)
         for _, play, pause in answers:
@@ -67,8 +67,11 @@
     def ask_again(self, play: str, held) -> None:
         """The next try takes over the viewer, where it has come for its answer by now."""
         self.between.discard(play)
-        if held.exchange is not None and not held.exchange.open:
+        if self.driver.heir is not None or held.exchange is not None and not held.exchange.open:
+            # its viewer is gone, or asks the successor of this front as others do
             self.lost(held, "left")
+            if held.exchange is not None and held.exchange.open:
+                self.driver.viewers.decline(held, 0)
         else:
             self.carry_ask(play, held)
 
@@ -99,7 +102,7 @@
     def carry_look(self, play: str) -> None:
         driver = self.driver
         held, ask = driver.plays.get(play), getattr(driver.module, "has_room", None)
-        room = held is not None and held.playing is not None
+        room = held is not None and held.playing is not None and driver.heir is None
         if room and ask is not None:  # baselines can't be asked
             facts, title = held.facts, held.title
             room = ask(driver.clock.now(), play, facts.product, facts.customer, facts.viewer, facts.title,
--- a/curlewhall/recovery/run.py
+++ b/curlewhall/recovery/run.py
@@ -4,8 +4,8 @@
 from collections.abc import Callable
 
 from .decide import Doubts, Window
-from .state import Further, Out, Over, Playing, Took
-from .store import Store
+from .state import Further, Out, Over, Playing, State, Took
+from .store import Memory, Store
 
 
 def unix_ms() -> int:
@@ -38,8 +38,8 @@
 class Keeper(NoKeeper):
     """Writes entries to a store. `strict`: a paid or further allocation goes out only once it is on disk."""
 
-    def __init__(self, store: Store, strict: bool, card: dict) -> None:
-        self.store, self.strict, self.state = store, strict, store.files.state
+    def __init__(self, store: Store | Memory, strict: bool, card: dict, state: State) -> None:
+        self.store, self.strict, self.state = store, strict, state
         now = unix_ms()
         look_back = card.get("rules.look_back")
         self.window = Window(self.state, now, None if look_back is None else look_back // 10,
--- a/curlewhall/recovery/store.py
+++ b/curlewhall/recovery/store.py
@@ -164,7 +164,7 @@
         self.rows: list[Entry] = []
         self.thens: list[Callable[[bool], None]] = []
         self.thread = ThreadPoolExecutor(1, thread_name_prefix="store")
-        self.writing = self.failing = False
+        self.writing = self.failing = self.closed = False
         self.commits = self.entries = 0
         if files.ill:
             self.failing = True
@@ -185,6 +185,8 @@
             self.loop.call_soon(self.commit)
 
     def commit(self) -> None:
+        if self.closed:
+            return  # `close` has written what was left
         rows, self.rows = self.rows, []
         thens, self.thens = self.thens, []
         large = self.files.size > LARGE
@@ -225,6 +227,8 @@
 
     def again(self) -> None:
         """Begin a new generation with the whole state: what failed is in it."""
+        if self.closed:
+            return
         try:
             self.files.begin(self.files.generation + 1)
         except OSError as err:
@@ -235,11 +239,31 @@
         self.log.info("the state is kept again", generation=self.files.generation)
 
     def close(self) -> None:
-        """Write what is left, give the folder up."""
+        """Write what is left, give the folder up; whoever waits for what is left is told."""
+        self.closed = True
         self.thread.shutdown(wait=True)
-        if self.rows and not self.failing:
+        sure = not self.failing
+        if self.rows and sure:
             try:
                 self.files.append(self.rows)
             except OSError as err:
+                sure = False
                 self.log.error("the last entries are not kept", why=str(err))
+        thens, self.rows, self.thens = self.thens, [], []
+        for then in thens:
+            self.loop.call_soon(then, sure)
         self.files.close()
+
+
+class Memory:
+    """A store without a folder, for the window of a front that hands over: nothing outlives a crash."""
+
+    def __init__(self, state: State, loop) -> None:
+        self.state, self.loop = state, loop
+
+    def add(self, entry: Entry, then: Callable[[bool], None] | None = None) -> None:
+        self.state.apply(entry)
+        if then is not None:
+            self.loop.call_soon(then, True)
+
+    def close(self) -> None: ...
--- a/curlewhall/settings/load.py
+++ b/curlewhall/settings/load.py
@@ -110,7 +110,7 @@
                 yield f"{name}[{i}].{field}", "nothing", "a value"
     if not file.product:
         yield "product", "none", "one product at least"
-    for check in (addresses, ladder, products, fleet, rules, limits, keys):
+    for check in (addresses, ladder, products, fleet, rules, limits, keys, console):
         yield from check(file)
 
 
@@ -233,15 +233,39 @@
 
 
 def keys(file) -> Wrong:
-    name = file.tokens.key_file
-    if not name:
+    if file.tokens.key_file:  # RFC 7518 section 3.2: an HS256 key has 256 bits at least
+        yield from secret("tokens.key_file", file.tokens.key_file, 32)
+
+
+def console(file) -> Wrong:
+    if file.daemon.HasField("workers"):
+        yield from bound("daemon.workers", file.daemon.workers, 1, 64)
+    page = file.console
+    if not file.HasField("console"):
         return
+    for field in missing(page, ("address", "port")):
+        yield f"console.{field}", "nothing", "a value"
+    if page.HasField("port"):
+        yield from bound("console.port", page.port, 1, 65535)
+    if page.HasField("address"):
+        try:
+            beyond = not ipaddress.ip_address(page.address).is_loopback
+        except ValueError:
+            yield "console.address", repr(page.address), "an IPv4 or IPv6 address"
+            return
+        if beyond and not page.token_file:
+            yield "console.address", repr(page.address), "a loopback address, or a token_file beside it"
+    if page.token_file:
+        yield from secret("console.token_file", page.token_file, 16)
+
+
+def secret(where: str, name: str, least: int) -> Wrong:
     try:
         facts = os.stat(name)
     except OSError as err:
-        yield "tokens.key_file", f"{name!r}: {err.strerror}", "a file that can be read"
+        yield where, f"{name!r}: {err.strerror}", "a file that can be read"
         return
-    if facts.st_size < 32:  # RFC 7518 section 3.2: an HS256 key has 256 bits at least
-        yield "tokens.key_file", f"{facts.st_size} bytes", "32 bytes at least"
+    if facts.st_size < least:
+        yield where, f"{facts.st_size} bytes", f"{least} bytes at least"
     if stat.S_IMODE(facts.st_mode) & 0o077:
-        yield "tokens.key_file", f"mode {stat.S_IMODE(facts.st_mode):o}", "no access but the owner's (600)"
+        yield where, f"mode {stat.S_IMODE(facts.st_mode):o}", "no access but the owner's (600)"
--- a/curlewhall/wire/server.py
+++ b/curlewhall/wire/server.py
@@ -81,8 +81,8 @@
 class Connection:
     """One client: a task that reads, and one that writes while there is something to write."""
 
-    def __init__(self, server: "Server", sock: socket.socket, peer) -> None:
-        self.server, self.sock, self.peer = server, sock, peer
+    def __init__(self, server: "Server", sock: socket.socket, peer, first: bytes = b"") -> None:
+        self.server, self.sock, self.peer, self.first = server, sock, peer, first
         self.exchanges: deque[Exchange] = deque()
         self.closed = self.writing = self.last = False
         self.room = asyncio.Event()
@@ -111,13 +111,19 @@
         busy = False
         try:
             while not self.closed:
-                got = await loop.sock_recv_into(self.sock, buffer)
-                if not got:
-                    break
+                data, self.first = self.first, b""
+                if not data:
+                    got = await loop.sock_recv_into(self.sock, buffer)
+                    if not got:
+                        break
+                    data = bytes(view[:got])
                 if self.last:
                     continue  # nothing more is taken; only the hang-up is waited for
+                if self.server.heir is not None and parser.current is None and not self.exchanges:
+                    self.release(data)
+                    return
                 try:
-                    parser.feed(bytes(view[:got]))
+                    parser.feed(data)
                 finally:
                     while parser.messages:
                         self.take(parser.messages.popleft())
@@ -189,6 +195,14 @@
             self.writing = False
         self.ready()
 
+    def release(self, data: bytes) -> None:
+        """Give the connection, and what was read of its next request, to this server's heir."""
+        self.closed = True
+        self.server.connections.discard(self)
+        if self.limit is not None:
+            self.limit.cancel()
+        self.server.heir(self.sock, data)
+
     def abort(self) -> None:
         """Close so that the other side sees a reset (RFC 9293 section 3.10.5)."""
         if not self.closed:
@@ -218,7 +232,13 @@
 
 
 class Server:
-    """Accepts until `close`. More connections than the limit are closed unanswered."""
+    """Accepts until `stop`. More connections than the limit are closed unanswered.
+
+    `heir(sock, data)`, once it is set, gets each connection with the first bytes of its next request; what
+    was begun before is still answered here.
+    """
+
+    AT_ONCE = 64  # connections accepted in one turn of the loop, so that a rush leaves time for the rest
 
     def __init__(self, loop, timers: Timers, sock: socket.socket, handler: Callable[[Exchange], None],
                  limits: Limits = Limits()) -> None:  # noqa: B008 - a tuple, never changed
@@ -226,25 +246,49 @@
         self.connections: set[Connection] = set()
         self.turned_away = self.slow = 0
         self.accepted: Callable[[Connection], bool] | None = None
-        self.task = loop.create_task(self.accept())
-
-    async def accept(self) -> None:
-        while True:
+        self.heir: Callable[[socket.socket, bytes], None] | None = None
+        self.accepting = False
+        self.accept()
+
+    def accept(self) -> None:
+        # Danger: a task cancelled in `sock_accept` may hold a connection that no one will ever answer; a
+        # reader that is removed holds none.
+        if not self.accepting and self.sock.fileno() >= 0:
+            self.accepting = True
+            self.loop.add_reader(self.sock, self.arrivals)
+
+    def pause(self) -> None:
+        """Accept nothing; who comes waits in the socket's queue."""
+        if self.accepting:
+            self.accepting = False
+            self.loop.remove_reader(self.sock)
+
+    def arrivals(self) -> None:
+        for _ in range(self.AT_ONCE):
             try:
-                sock, peer = await self.loop.sock_accept(self.sock)
+                sock, peer = self.sock.accept()
+            except BlockingIOError:
+                return
+            except ConnectionError:
+                continue  # it has gone again
             except OSError:
-                await asyncio.sleep(0.05)  # out of descriptors: let some connections end first
-                continue
+                self.pause()  # out of descriptors: let some connections end first
+                self.timers.after(0.05, self.accept)
+                return
             sock.setblocking(False)
             if len(self.connections) >= self.limits.connections:
                 self.turned_away += 1
                 sock.close()
                 continue
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            line = Connection(self, sock, peer)
-            self.connections.add(line)
-            if self.accepted is not None and not self.accepted(line):
-                line.close()
+            self.adopt(sock, peer)
+
+    def adopt(self, sock: socket.socket, peer, first: bytes = b"") -> None:
+        """Serve a connection, of which `first` was read already."""
+        line = Connection(self, sock, peer, first)
+        self.connections.add(line)
+        if self.accepted is not None and not self.accepted(line):
+            line.close()
 
     def handle(self, exchange: Exchange) -> None:
         try:
@@ -256,8 +300,8 @@
 
     def stop(self) -> None:
         """Accept no more; what is open stays open."""
-        self.task.cancel()
-        self.loop.call_soon(self.sock.close)
+        self.pause()
+        self.sock.close()
 
     def close(self) -> None:
         self.stop()
