--- a/curlewhall/daemon/handover.py
+++ b/curlewhall/daemon/handover.py
@@ -77,6 +77,7 @@
     def __init__(self, channel: Channel, state: State) -> None:
         self.channel, self.state, self.count = channel, state, 0
         self.thens: dict[int, Callable[[bool], None]] = {}
+        self.failing = False
 
     def add(self, entry: Entry, then: Callable[[bool], None] | None = None) -> None:
         self.state.apply(entry)
@@ -112,6 +113,9 @@
         front.nodes.leaving = True
         front.follower.leave()
         front.close_peers()
+        if front.console is not None:
+            front.console.close()
+            front.console = None
         driver.heir = self
         say = self.channel.send
         follower = front.follower
--- a/curlewhall/daemon/run.py
+++ b/curlewhall/daemon/run.py
@@ -84,6 +84,8 @@
         os.pwrite(self.lock, f"{os.getpid()}\n".encode(), 0)
         where = self.file.listen
         self.sockets = [listen(where.address, where.port)]
+        if self.file.HasField("console"):
+            self.sockets.append(listen(self.file.console.address, self.file.console.port))
         path = self.folder / CONTROL
         path.unlink(missing_ok=True)
         self.control = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
@@ -122,7 +124,9 @@
         process.channel = Channel(self.loop, mine, lambda kind, facts, fds: self.heard(process, kind, facts),
                                   lambda: None)
         self.loop.add_reader(process.pidfd, self.ended, process)
-        process.channel.send("listen", fds=(os.dup(self.sockets[0].fileno()),))
+        # the console of several workers is the first one's
+        process.channel.send("listen", fds=tuple(os.dup(sock.fileno()) for sock in
+                                                 self.sockets[:1 if slot else 2]))
         process.channel.send("prepare" if successor else "begin")
         self.log.info("worker started", slot=slot, worker=number, pid=popen.pid, successor=successor)
 
@@ -243,6 +247,8 @@
             return f"nothing was changed: {err}"
         same = [("listen.address", file.listen.address, self.file.listen.address),
                 ("listen.port", file.listen.port, self.file.listen.port),
+                ("console.address", file.console.address, self.file.console.address),
+                ("console.port", file.console.port, self.file.console.port),
                 ("daemon.workers", file.daemon.workers or 1, self.count),
                 ("daemon.folder", str(folder_of(file)), str(self.folder)),
                 ("state.folder", file.state.folder, self.file.state.folder),
--- a/curlewhall/daemon/worker.py
+++ b/curlewhall/daemon/worker.py
@@ -51,7 +51,7 @@
         self.file, self.log, self.make, self.mover = file, log, make, mover
         self.loop = asyncio.get_running_loop()
         self.over = self.loop.create_future()
-        self.front = self.leaving = self.coming = self.sock = None
+        self.front = self.leaving = self.coming = self.sock = self.page = None
         self.stopping = False
         self.daemon = Channel(self.loop, socket.socket(fileno=daemon), self.heard, self.lost)
 
@@ -63,9 +63,12 @@
         self.log.warning("the daemon is gone")
         self.told_stop()
 
-    def told_listen(self, number: int) -> None:
-        self.sock = socket.socket(fileno=number)
+    def told_listen(self, number: int, page: int | None = None) -> None:
+        self.sock, self.page = socket.socket(fileno=number), None
         self.sock.setblocking(False)
+        if page is not None:
+            self.page = socket.socket(fileno=page)
+            self.page.setblocking(False)
 
     def told_prepare(self) -> None:
         """A successor: its settings are read, which is what goes wrong most."""
@@ -84,7 +87,7 @@
 
     async def serve(self, coming) -> None:
         try:
-            await self.front.start(self.sock)
+            await self.front.start(self.sock, self.page and self.page.dup())
         except OSError as err:
             self.fail(str(err))
             return
@@ -106,6 +109,8 @@
     def back(self) -> None:
         """The successor failed: this one goes on."""
         self.leaving = None
+        if self.page is not None:
+            self.front.open_console(self.page.dup())
         self.log.warning("the successor failed; going on")
         self.daemon.send("back")
         if self.stopping:
--- a/curlewhall/drills/fleet.py
+++ b/curlewhall/drills/fleet.py
@@ -138,6 +138,10 @@
     file.tokens.key_file, file.tokens.life_s = plan["key_file"], 600
     file.limits.answer_margin_ms = 100
     file.moves.drain_within_ms = int(1000 * plan.get("drain_within", 8.0))
+    if plan.get("console"):
+        file.console.address, file.console.port = front["address"], plan["console"]
+        if plan.get("console_token"):
+            file.console.token_file = plan["console_token"]
     if plan.get("daemon"):
         file.daemon.folder, file.daemon.workers = daemon_folder(plan, index), plan["daemon"]
     if plan.get("durability"):
--- a/curlewhall/front/serve.py
+++ b/curlewhall/front/serve.py
@@ -89,7 +89,7 @@
         drain_within = 10 * (file.moves.drain_within_ms or 30_000)
         self.driver.moves = Moves(self.driver, self.timers, (mover or Mover)(
             self.driver.clock.now(), card, drain_within))
-        self.server = None
+        self.server = self.console = None
         if coming is not None:
             coming.take_up(self)
 
@@ -133,22 +133,31 @@
             self.peers.transport.close()
             self.peers.transport = None
 
-    async def start(self, sock: socket.socket | None = None) -> None:
-        """Serve on `sock`, a listening socket, or on one of its own."""
+    async def start(self, sock: socket.socket | None = None, page: socket.socket | None = None) -> None:
+        """Serve on `sock`, a listening socket, or on one of its own; the console on `page` likewise."""
         where = self.file.listen
         # every socket is there before anything is told: nothing starts half
         own = sock is None
         sock = listen(where.address, where.port) if own else sock
         try:
+            if own and self.file.HasField("console"):
+                page = listen(self.file.console.address, self.file.console.port)
             self.open_peers()
         except OSError:
-            if own:
-                sock.close()
+            for opened in filter(None, (sock, page) if own else ()):
+                opened.close()
             raise
+        if page is not None:
+            self.open_console(page)
         self.server = Server(self.loop, self.timers, sock, self.viewers.handle, limits(self.file))
         self.follower.start()
         self.log.info("ready", front=self.file.identity.name, address=where.address, port=where.port)
 
+    def open_console(self, page: socket.socket) -> None:
+        from curlewhall.console.run import Console, read_token  # takes a while; many fronts have none
+
+        self.console = Console(self, page, read_token(self.file.console.token_file))
+
     def owes(self) -> bool:
         """Whether an answer is owed to somebody."""
         return bool(self.driver.moves.between) or any(
@@ -177,6 +186,8 @@
         """Close every socket and the state, whatever is under way."""
         self.follower.close()
         self.nodes.close()
+        if self.console is not None:
+            self.console.close()
         if self.server is not None:
             self.server.close()
         self.close_peers()
--- a/curlewhall/policy.py
+++ b/curlewhall/policy.py
@@ -96,7 +96,7 @@
         self.plays, self.nodes, self.racks, self.cells = {}, {}, {}, {}
         kept = max(rate_card["rules.fall"], rate_card.get("rules.look_back", 0))
         self.takes, self.further = Changes(kept), deque()  # for the budget of further allocations
-        self.wakes, self.labels, self.average, self.turn = {}, 0, (NEVER, 0), 0
+        self.wakes, self.labels, self.average, self.turn, self.stages = {}, 0, (NEVER, 0), 0, {}
         self.out = [("wake", self.chance(2 * SECOND), 0)] if rate_card["report.how"] == "on_probe" else []
         self.changes, self.links, self.part = Changes(10 * SECOND), 1, (NEVER, 1)
         self.chain = [(self.in_time, None), (self.rationed, self.again), (self.holding, self.health),
@@ -249,6 +249,8 @@
             return
         for ahead, _ in self.chain:
             if ahead(now, ply) is not PASS:
+                if ply.answered:  # for the people on call: where plays are declined
+                    self.stages[ahead.__name__] = self.stages.get(ahead.__name__, 0) + 1
                 return
 
     def in_time(self, now, ply):
--- a/curlewhall/recovery/store.py
+++ b/curlewhall/recovery/store.py
@@ -258,6 +258,8 @@
 class Memory:
     """A store without a folder, for the window of a front that hands over: nothing outlives a crash."""
 
+    failing = False
+
     def __init__(self, state: State, loop) -> None:
         self.state, self.loop = state, loop
 
--- /dev/null
+++ b/tests/console/test_console.py
@@ -0,0 +1,179 @@
+"""The console over loopback, without a browser: what is shown, what is refused, who is cut off."""
+
+import asyncio
+import contextlib
+import socket
+from urllib.parse import urlencode
+
+import pytest
+from front.town import Town, until
+from loopback import Peer, looped
+
+from curlewhall.console import view
+from curlewhall.drills.baselines import TwoDrawn
+from curlewhall.wire.client import Pool
+from curlewhall.wire.http import request_bytes
+
+TOKEN = "a token of twenty five chars"
+PORT = 8600
+
+
+class Watched(Town):
+    """A town whose front has a console."""
+
+    def __init__(self, folder, **more):
+        super().__init__(folder, **more)
+        (folder / "token").touch(mode=0o600)
+        (folder / "token").write_text(TOKEN + "\n")
+        self.plan["console"], self.plan["console_token"] = PORT, str(folder / "token")
+
+    async def get(self, target, method="GET", body=b"", **fields):
+        pool = Pool(self.fronts[0].loop, self.fronts[0].timers, self.plan["fronts"][0]["address"], PORT)
+        reply = await pool.fetch(request_bytes(method, target, pool.host, body, **fields), 10)
+        pool.close()
+        return reply.message
+
+    async def text(self, target):
+        return (await self.get(target)).body.decode()
+
+
+@contextlib.asynccontextmanager
+async def watched(folder, policy=None, **more):
+    place = Watched(folder, **more)
+    try:
+        yield await place.open(policy)
+    finally:
+        await place.close()
+
+
+@looped
+async def test_the_first_page_shows_the_fleet_and_needs_no_script(tmp_path):
+    async with watched(tmp_path, nodes=9) as place:
+        for i in range(4):
+            await place.ask(viewer=f"v{i}")
+        message = await place.get("/")
+        text = message.body.decode()
+        assert message.status == 200 and "default-src 'self'" in message.headers["content-security-policy"]
+        for node in place.fleet.nodes:
+            assert f"<b>{node}</b>" in text
+        assert '<dd id="held">4</dd>' in text and "No node drains" in text and "http" not in text.replace(
+            place.fronts[0].viewers.url, "")  # no asset from outside
+
+
+@looped
+async def test_plays_are_searched_and_paged(tmp_path):
+    async with watched(tmp_path, TwoDrawn, nodes=9) as place:
+        for i in range(view.PAGE + 10):
+            assert (await place.ask(viewer=f"v{i}", title=f"clip-{i % 8:02}"))[0].status == 200
+        first, second = await place.text("/plays"), await place.text("/plays?page=2")
+        assert f"{view.PAGE + 10} found" in first and "Page 1 of 2" in first
+        assert first.count("<tr><td><a") == view.PAGE and second.count("<tr><td><a") == 10
+        assert (await place.get("/plays?page=3")).status == 404
+        assert "Page 1 of" in await place.text("/plays?page=x")
+        assert "1 found" in await place.text("/plays?q=v59")
+        held = next(iter(place.fronts[0].driver.plays.values()))
+        assert "1 found" in await place.text(f"/plays?q={held.facts.play}")
+        assert "0 found" in await place.text(f"/plays?node={held.node}&product=dear")
+        assert held.facts.viewer in await place.text(f"/plays/{held.facts.play}")
+        assert (await place.get("/plays/nothing")).status == 404
+
+
+@looped
+async def test_what_viewers_send_is_shown_as_text(tmp_path):
+    async with watched(tmp_path) as place:
+        evil = "<script>alert(1)</script>"
+        await place.ask(viewer=evil, customer='"><b>')
+        for target in ("/plays", "/plays?" + urlencode({"q": evil}), "/nothing" + "?<script>"):
+            text = await place.text(target)
+            assert "<script>alert" not in text and '"><b>' not in text
+        assert "&lt;script&gt;" in await place.text("/plays")
+
+
+@looped
+@pytest.mark.parametrize(("given", "fields", "status"), [
+    ({"node": "n000", "token": TOKEN}, {}, 303),
+    ({"node": "n000"}, {"authorization": f"Bearer {TOKEN}"}, 303),
+    ({"node": "n000"}, {}, 403),
+    ({"node": "n000", "token": "wrong"}, {}, 403),
+    ({"node": "n000", "token": TOKEN}, {"authorization": "Bearer wrong"}, 403),
+    ({"node": "nowhere", "token": TOKEN}, {}, 404),
+    ({"token": TOKEN}, {}, 404),
+])
+async def test_a_change_needs_the_token(tmp_path, given, fields, status):
+    async with watched(tmp_path, TwoDrawn) as place:
+        message = await place.get("/drain", "POST", urlencode(given).encode(), **fields)
+        assert message.status == status
+        assert place.fronts[0].follower.drained == ({"n000"} if status == 303 else set())
+        if status == 303:
+            assert "n000" in place.fronts[0].driver.moves.progress()
+            await place.get("/drain", "POST", urlencode(given | {"back": "1"}).encode(), **fields)
+            assert not place.fronts[0].follower.drained
+        assert (await place.get("/", "DELETE")).status == 405
+
+
+@looped
+async def test_events_follow_the_plays_and_a_reader_that_stops_costs_nobody_else(tmp_path):
+    async with watched(tmp_path, nodes=9) as place:
+        where = place.plan["fronts"][0]["address"]
+        reader = await Peer.open(PORT, where)
+        await reader.send(b"GET /events HTTP/1.1\r\nhost: x\r\n\r\n")
+        console = place.fronts[0].console
+        await until(lambda: console.streams)
+        await place.ask()
+        seen = b""
+        while b'id="held">1<' not in seen:
+            seen += await reader.loop.sock_recv(reader.sock, 65536)
+        assert seen.startswith(b"HTTP/1.1 200") and b"text/event-stream" in seen
+        # one with a small buffer that reads nothing more
+        stuck = socket.socket()
+        stuck.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1024)
+        stuck.setblocking(False)
+        await reader.loop.sock_connect(stuck, (where, PORT))
+        await reader.loop.sock_sendall(stuck, b"GET /events HTTP/1.1\r\nhost: x\r\n\r\n")
+        await until(lambda: len(console.streams) == 2)
+        slow = next(ex for ex in console.streams if ex.line.peer[1] == stuck.getsockname()[1])
+        event = console.event()
+        while slow.open:
+            slow.write(event)
+            await asyncio.sleep(0)
+        assert (await place.ask(viewer="w"))[0].status == 200
+        while b'id="held">2<' not in seen:
+            seen += await reader.loop.sock_recv(reader.sock, 65536)
+        stuck.close()
+        reader.close()
+        await until(lambda: not [ex for ex in console.streams if ex.open])
+
+
+@looped
+async def test_figures_for_prometheus_and_declines_by_cause(tmp_path):
+    async with watched(tmp_path, nodes=1) as place:
+        await place.ask()
+        place.fault("drain")
+        await until(lambda: place.fronts[0].follower.rows["n000"].state == "draining")
+        assert (await place.ask(viewer="w"))[0].status == 503
+        text = await place.text("/metrics")
+        assert 'curlewhall_plays_total{what="asked"} 2.0' in text
+        assert 'curlewhall_declines_total{cause="no holder serves"} 1.0' in text
+        assert 'curlewhall_nodes{state="draining"} 1.0' in text
+        assert "no holder serves" in await place.text("/")
+
+
+class Plenty:
+    """Plays by the thousand, of which a search looks at some."""
+
+    def __init__(self, count):
+        self.count = count
+
+    def __iter__(self):
+        for i in range(self.count):
+            facts = type("F", (), {"play": f"p{i}", "viewer": f"v{i % 100}", "title": "t", "product": "plain",
+                                   "customer": "c"})
+            yield type("H", (), {"facts": facts, "playing": 0, "node": f"n{i % 5}", "target": ""})
+
+
+@pytest.mark.parametrize(("words", "node", "page", "held", "count"), [
+    ("", "", 0, view.PAGE, 9000), ("v7", "", 0, view.PAGE, 990), ("", "n3", 1, view.PAGE, 1800),
+    ("p8999", "", 0, 1, 1), ("zz", "", 0, 0, 0), ("", "", 180, 0, 9000)])
+def test_a_search_goes_in_slices(words, node, page, held, count):
+    steps = list(view.search(Plenty(9000), words, node, "", page))
+    assert len(steps) == 9000 // view.SLICE + 1 and (len(steps[-1][0]), steps[-1][1]) == (held, count)
