Drill disk, and fronts that die at a point within a write of their state

A drill's front can run with a disk that fails on purpose; kill draws half of its deaths at such points.

--- /dev/null
+++ b/bench/fuzz_log.py
@@ -0,0 +1,62 @@
+"""Damaged files for the reader of logs and snapshots, guided by coverage (atheris), for as long as asked.
+
+    python bench/fuzz_log.py -max_total_time=600 [folder of inputs]
+
+Whatever bytes are read, the outcome is entries, `Damaged` or `Newer`; anything else, and a reader that takes
+more than its stated memory, stops the run with the input kept. Not a part of CI, atheris neither: the figures
+of the last run are in `docs/recovery/design.md`.
+"""
+
+import struct
+import sys
+
+import atheris
+
+with atheris.instrument_imports(include=["curlewhall.recovery"]):
+    from curlewhall.recovery import form
+    from curlewhall.recovery.state import Further, Out, Over, Playing, State, Took
+
+SEEDS = [Out("p-1", 0, "n001", "v", "t", "paid", True, 1), Playing("p-1", 0), Over("p-1"), Took(5, 3),
+         Further(6)]
+LOG = form.head(form.LOG) + b"".join(map(form.frame, SEEDS))
+WHOLE = form.snapshot(SEEDS)
+
+
+def once(data: bytes) -> None:
+    given = atheris.FuzzedDataProvider(data)
+    way = given.ConsumeIntInRange(0, 4)
+    if way == 0:
+        raw = data
+    elif way == 1:  # a sound log with a piece exchanged
+        at, piece = given.ConsumeIntInRange(0, len(LOG)), given.ConsumeBytes(64)
+        raw = LOG[:at] + piece + LOG[at + len(piece):]
+    elif way == 2:  # sound frames around anything: past the checksum
+        payload = given.ConsumeBytes(4096)
+        size = struct.pack("<I", len(payload))
+        raw = LOG + form.FRAME.pack(len(payload), form.crc32c.crc32c(size + payload)) + payload
+    elif way == 3:
+        at, piece = given.ConsumeIntInRange(0, len(WHOLE)), given.ConsumeBytes(64)
+        raw = WHOLE[:at] + piece + WHOLE[at + len(piece):]
+    else:  # a sound snapshot of anything
+        body = form.zstandard.ZstdCompressor().compress(given.ConsumeBytes(4096))
+        raw = form.head(form.SNAPSHOT) + struct.pack("<I", form.crc32c.crc32c(body)) + body
+    state = State(10_000)
+    try:
+        found, ended = form.entries(raw)
+        assert ended in ("", "torn", "damaged")
+        for entry in found:
+            state.apply(entry)
+        assert all(isinstance(entry, Out | Playing | Over | Took | Further) for entry in found)
+    except (form.Damaged, form.Newer):
+        pass
+    try:
+        for entry in form.read_snapshot(raw):
+            state.apply(entry)
+    except (form.Damaged, form.Newer):
+        pass
+    state.rows()
+
+
+if __name__ == "__main__":
+    atheris.Setup(sys.argv, once)
+    atheris.Fuzz()
--- a/curlewhall/drills/__init__.py
+++ b/curlewhall/drills/__init__.py
@@ -6,6 +6,7 @@
 """
 
 from .badday import badday
+from .disk import disk
 from .drain import drain, drain_cold, drain_crowd, drain_frozen_target, drain_rack
 from .kill import kill
 from .play import Day, run
@@ -13,6 +14,6 @@
 
 DRILLS = {"badday": badday, "drain": drain, "drain-frozen-target": drain_frozen_target,
           "drain-cold": drain_cold, "drain-rack": drain_rack, "drain-crowd": drain_crowd,
-          "kill": kill, "restart": restart, "steady": steady}
+          "kill": kill, "disk": disk, "restart": restart, "steady": steady}
 
 __all__ = ["DRILLS", "Day", "run"]
--- a/curlewhall/drills/fleet.py
+++ b/curlewhall/drills/fleet.py
@@ -4,6 +4,7 @@
 each other. All figures of the simulated fleet are this project's own.
 """
 
+import contextlib
 import json
 import os
 import random
@@ -217,7 +218,10 @@
         self.records.write("drill", "started", front=name)
         file = str(self.folder / f"{name}.textproto")
         how = "start" if self.plan.get("daemon") else "serve"
-        self.fronts[name] = self.spawn(name, ["curlewhall", how, file, *self.named])
+        program = ["curlewhall"]
+        if self.plan.get("faulty"):
+            program = ["curlewhall.drills.faulty", str(self.folder / f"{name}.disk")]
+        self.fronts[name] = self.spawn(name, [*program, how, file, *self.named])
 
     def await_front(self, name: str) -> None:
         self.await_line(self.fronts[name], '"ready"', name)
@@ -230,6 +234,33 @@
             process.wait()
             self.records.write("drill", "killed", front=name)
 
+    def set_disk(self, name: str, fault: str) -> None:
+        """What the disk of a front's state does from now on, see `faulty`."""
+        path = self.folder / f"{name}.disk"
+        path.with_suffix(".new").write_text(fault)
+        os.replace(path.with_suffix(".new"), path)
+
+    def die_writing(self, name: str, point: str, number: int) -> None:
+        """Let the front die within a write, and start it anew; one that writes nothing for long is killed."""
+        self.set_disk(name, f"die:{point}:{number}")
+        process = self.fronts[name]
+        with contextlib.suppress(subprocess.TimeoutExpired):
+            process.wait(1.0)
+        if process.poll() is None:
+            process.kill()
+            process.wait()
+        self.records.write("drill", "killed", front=name)
+        self.set_disk(name, "")
+        self.start_front(name)
+
+    def damage(self, name: str, where: float) -> None:
+        """Flip a byte of each of the state's files, at `where` (0 to 1) of its length."""
+        for path in (self.folder / f"{name}.state").glob("*-*"):
+            data = bytearray(path.read_bytes())
+            if data:
+                data[min(len(data) - 1, int(where * len(data)))] ^= 0x55
+                path.write_bytes(data)
+
     def tell_daemon(self, name: str, what: str) -> None:
         """Say `restart` or `stop` to a front's daemon, in the background; what came of it is recorded."""
         index = [front["name"] for front in self.plan["fronts"]].index(name)
--- a/curlewhall/drills/kill.py
+++ b/curlewhall/drills/kill.py
@@ -1,9 +1,13 @@
-"""`kill`: fronts are killed outright at drawn moments and started anew at once, on their state folders."""
+"""`kill`: fronts are killed outright at drawn moments and started anew at once, on their state folders.
+
+Half of them die at a drawn point within a write of their state, see `faulty`.
+"""
 
 import random
 
 from curlewhall.records import Record
 
+from .faulty import POINTS
 from .play import Day, Script
 
 
@@ -30,18 +34,30 @@
             "resumed_share": round(1 - orphans / max(1, held_at_kill), 4)}
 
 
-def kill(rng: random.Random, plan: dict, day: Day) -> Script:
-    """Every second or so another front, strict durability; viewers come again as they do."""
+def prepare(plan: dict) -> None:
+    """Strict durability, longer plays, so that there is something to resume."""
     plan["durability"] = "strict"
     for product in plan["products"]:
         product["life"] = [2 * seconds for seconds in product["life"]]
     plan["crowd"]["rate"] *= 0.6
+
+
+def claims() -> dict:
+    return {"paid_twice": (0, lambda counts, rows: figures(rows)["paid_twice"]),
+            "not_resumed": (0, lambda counts, rows: figures(rows)["not_resumed"]),
+            "unanswered": (0, lambda counts, rows: counts["unanswered"])}
+
+
+def kill(rng: random.Random, plan: dict, day: Day) -> Script:
+    """Every second or so another front; half of them die by themselves at a point within a write."""
+    prepare(plan)
+    plan["faulty"] = True
     steps, at = [], rng.uniform(1.5, 2.5)
     while at < day.seconds - 2:
         front = rng.choice(plan["fronts"])["name"]
-        steps += [(at, "kill", front), (at + 0.05, "front", front)]
+        if rng.random() < 0.5:
+            steps += [(at, "kill", front), (at + 0.05, "front", front)]
+        else:
+            steps += [(at, "die", front, rng.choice(POINTS), rng.randint(1, 4))]
         at += rng.uniform(0.8, 2.2)
-    claims = {"paid_twice": (0, lambda counts, rows: figures(rows)["paid_twice"]),
-              "not_resumed": (0, lambda counts, rows: figures(rows)["not_resumed"]),
-              "unanswered": (0, lambda counts, rows: counts["unanswered"])}
-    return Script(steps, claims, ["kill"], figures)
+    return Script(steps, claims(), ["kill"], figures)
--- a/curlewhall/drills/play.py
+++ b/curlewhall/drills/play.py
@@ -94,6 +94,12 @@
         processes.kill_front(*facts)
     elif what == "front":
         processes.start_front(*facts)
+    elif what == "disk":
+        processes.set_disk(*facts)
+    elif what == "die":
+        processes.die_writing(*facts)
+    elif what == "damage":
+        processes.damage(*facts)
     elif what == "daemon":
         processes.tell_daemon(*facts)
     else:
