Several workers under one daemon; a viewer always meets the same one

A worker that reads a request of another one's viewer hands the connection over, bytes and all, by way of the daemon: a paid viewer who comes again, or for a moved play, never meets a front that knows nothing of it. A front without a list says 503 in place of 404. The garbage collector is kept from full rounds.

--- a/curlewhall/daemon/decide.py
+++ b/curlewhall/daemon/decide.py
@@ -14,7 +14,10 @@
 and after so many crashes within a while the slot stays down until someone says `restart`.
 """
 
+import re
 from collections import deque
+from urllib.parse import unquote_plus
+from zlib import crc32
 
 SECOND = 10_000
 READY_WITHIN = 15 * SECOND  # a start that takes longer hangs; reading 100,000 plays from disk takes 2 s
@@ -25,6 +28,19 @@
 LOOP, LOOP_WITHIN = 6, 60 * SECOND  # so many crashes within that, and it stays down
 
 
+VIEWER = re.compile(r"[?&]viewer=([^&]*)")
+
+
+def owner(target: str, slots: int) -> int | None:
+    """The slot whose front answers a request; None: any does.
+
+    Danger: a viewer that comes again for a paid play, or for one that was moved, and meets a front that does
+    not know of it, is set up twice. So a viewer always meets the same front of a machine.
+    """
+    found = VIEWER.search(target) if slots > 1 and target.startswith("/play/") else None
+    return crc32(unquote_plus(found[1]).encode()) % slots if found else None
+
+
 class Worker:
     """A process of a slot."""
 
@@ -229,6 +245,16 @@
         self.woken = due
         return [("wake", max(1, due - now))]
 
+    def place(self, slot: int) -> int:
+        """The process that a connection for a slot goes to: -1, it has to wait; 0: there is none."""
+        wanted = self.slots[slot]
+        if wanted.serving is not None and wanted.serving.state == "serving":
+            return wanted.serving.number
+        if not wanted.down and not self.stopping:
+            return -1
+        others = (s.serving for s in self.slots if s.serving is not None)
+        return next((worker.number for worker in others if worker.state in ("serving", "stopping")), 0)
+
     def state(self) -> list[dict]:
         """For the people on call."""
         return [{"slot": number, "state": slot.serving.state if slot.serving else
--- a/curlewhall/daemon/run.py
+++ b/curlewhall/daemon/run.py
@@ -25,6 +25,7 @@
 from .decide import SECOND, Supervisor
 from .notify import Notify
 
+WAITING = 1000  # connections that wait for one worker at most; as many descriptors
 SAID = 40  # bytes of a request on the control socket: a word and a newline
 
 
@@ -59,9 +60,10 @@
         self.supervisor = Supervisor(self.count)
         self.processes: dict[int, Process] = {}
         self.sockets: list[socket.socket] = []
-        self.folder, self.lock, self.control = folder_of(file), None, None
+        self.folder, self.lock, self.control, self.page = folder_of(file), None, None, None
         self.waiting: dict[str, list[asyncio.Future]] = {}
         self.said: deque[str] = deque(maxlen=20)
+        self.held: dict[int, list[tuple[bytes, int]]] = {}  # connections that wait for a worker
         self.over = self.loop.create_future()
         self.began, self.asks = time.time(), 0
 
@@ -83,9 +85,11 @@
         os.ftruncate(self.lock, 0)
         os.pwrite(self.lock, f"{os.getpid()}\n".encode(), 0)
         where = self.file.listen
-        self.sockets = [listen(where.address, where.port)]
+        each = self.file.daemon.reuse_port
+        self.sockets = [listen(where.address, where.port, share=each)
+                        for _ in range(self.count if each else 1)]
         if self.file.HasField("console"):
-            self.sockets.append(listen(self.file.console.address, self.file.console.port))
+            self.page = listen(self.file.console.address, self.file.console.port)
         path = self.folder / CONTROL
         path.unlink(missing_ok=True)
         self.control = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
@@ -98,7 +102,7 @@
         self.control.setblocking(False)
 
     def close(self) -> None:
-        for sock in [*self.sockets, *([self.control] if self.control else [])]:
+        for sock in filter(None, [*self.sockets, self.page, self.control]):
             sock.close()
         if self.lock is not None:
             (self.folder / CONTROL).unlink(missing_ok=True)
@@ -121,12 +125,12 @@
                                  start_new_session=True)
         its.close()
         process = self.processes[number] = Process(number, slot, popen)
-        process.channel = Channel(self.loop, mine, lambda kind, facts, fds: self.heard(process, kind, facts),
-                                  lambda: None)
+        process.channel = Channel(
+            self.loop, mine, lambda kind, facts, fds: self.heard(process, kind, facts, fds), lambda: None)
         self.loop.add_reader(process.pidfd, self.ended, process)
         # the console of several workers is the first one's
-        process.channel.send("listen", fds=tuple(os.dup(sock.fileno()) for sock in
-                                                 self.sockets[:1 if slot else 2]))
+        given = [self.sockets[slot % len(self.sockets)], *([self.page] if self.page and not slot else [])]
+        process.channel.send("listen", fds=tuple(os.dup(sock.fileno()) for sock in given))
         process.channel.send("prepare" if successor else "begin")
         self.log.info("worker started", slot=slot, worker=number, pid=popen.pid, successor=successor)
 
@@ -171,11 +175,15 @@
 
     # ---- what workers say
 
-    def heard(self, process: Process, kind: str, facts: list) -> None:
-        if kind == "prepared":
+    def heard(self, process: Process, kind: str, facts: list, fds: list[int]) -> None:
+        if kind == "line":
+            self.line(facts[0], facts[1], fds[0])
+        elif kind == "prepared":
             self.carry(self.supervisor.prepared(now(), process.number))
         elif kind == "ready":
             self.carry(self.supervisor.ready(now(), process.number))
+            for line in self.held.pop(process.slot, ()):
+                self.line(process.slot, *line)
             if all(row["state"] == "serving" for row in self.supervisor.state()):
                 self.notify.say("READY=1", f"MAINPID={os.getpid()}", f"STATUS={self.count} serving")
                 self.log.info("ready", workers=self.count)
@@ -184,6 +192,23 @@
         elif kind == "state":
             process.state = facts[1]
 
+    def line(self, slot: int, data: bytes, number: int) -> None:
+        """A connection on its way from one worker to another; it waits for one that is about to start."""
+        to = self.supervisor.place(slot)
+        waiting = self.held.setdefault(slot, [])
+        if to > 0 and to in self.processes:
+            channel, spare = self.processes[to].channel, os.dup(number)
+            channel.send("line", data, fds=(number,))
+            if not channel.closed:
+                os.close(spare)
+                return
+            # it has just died, and its end is not known yet: what was not delivered waits for the next one
+            to, number = -1, spare
+        if to < 0 and len(waiting) < WAITING:
+            waiting.append((data, number))
+        else:
+            os.close(number)
+
     def ended(self, process: Process) -> None:
         self.loop.remove_reader(process.pidfd)
         os.close(process.pidfd)
@@ -249,6 +274,7 @@
                 ("listen.port", file.listen.port, self.file.listen.port),
                 ("console.address", file.console.address, self.file.console.address),
                 ("console.port", file.console.port, self.file.console.port),
+                ("daemon.reuse_port", file.daemon.reuse_port, self.file.daemon.reuse_port),
                 ("daemon.workers", file.daemon.workers or 1, self.count),
                 ("daemon.folder", str(folder_of(file)), str(self.folder)),
                 ("state.folder", file.state.folder, self.file.state.folder),
--- a/curlewhall/daemon/worker.py
+++ b/curlewhall/daemon/worker.py
@@ -16,12 +16,13 @@
 import uvloop
 
 from curlewhall.cli import logs
-from curlewhall.front.serve import FrontProcess, policy
+from curlewhall.front.serve import FrontProcess, calm_collector, policy
 from curlewhall.recovery.form import Newer
 from curlewhall.recovery.store import Busy
 from curlewhall.settings import WrongFile, front_pb2, load
 
 from .channel import Channel
+from .decide import owner
 from .handover import Coming, Leaving
 
 
@@ -47,12 +48,12 @@
 class Worker:
     """Runs one front until the daemon, or its loss, ends it."""
 
-    def __init__(self, daemon: int, file, log, make, mover) -> None:
+    def __init__(self, daemon: int, slot: int, workers: int, file, log, make, mover) -> None:
         self.file, self.log, self.make, self.mover = file, log, make, mover
         self.loop = asyncio.get_running_loop()
         self.over = self.loop.create_future()
         self.front = self.leaving = self.coming = self.sock = self.page = None
-        self.stopping = False
+        self.stopping, self.slot, self.workers = False, slot, workers
         self.daemon = Channel(self.loop, socket.socket(fileno=daemon), self.heard, self.lost)
 
     def heard(self, kind: str, facts: list, fds: list[int]) -> None:
@@ -91,9 +92,33 @@
         except OSError as err:
             self.fail(str(err))
             return
+        if self.workers > 1:
+            self.front.server.route = self.route
         if coming is not None:
             coming.serving()
         self.daemon.send("ready")
+        calm_collector()
+
+    def route(self, messages):
+        """Another worker's viewer goes there, connection and all, by way of the daemon."""
+        slots = {owner(message.target, self.workers) for message in messages}
+        slot = slots.pop() if len(slots) == 1 else None
+        if slot is None or slot == self.slot:
+            return None
+        return lambda sock, data: self.send_line(slot, sock, data)
+
+    def send_line(self, slot: int, sock: socket.socket, data: bytes) -> None:
+        number = os.dup(sock.fileno())
+        self.loop.call_soon(sock.close)
+        self.daemon.send("line", slot, data, fds=(number,))
+
+    def told_line(self, data: bytes, number: int) -> None:
+        sock = socket.socket(fileno=number)
+        sock.setblocking(False)
+        peer = ("", 0)
+        with contextlib.suppress(OSError):
+            peer = sock.getpeername()
+        self.front.server.adopt(sock, peer, data, routed=True)
 
     def fail(self, why: str) -> None:
         self.log.error("can't start", why=why)
@@ -163,7 +188,8 @@
         print(err, file=sys.stderr)
         return 2
     log = logs.make(front_pb2.LogForm.Name(file.logs.form).lower(), file.logs.level or "info")
-    worker = Worker(daemon, file, log, policy(make) if make else None, policy(mover) if mover else None)
+    worker = Worker(daemon, slot, workers, file, log, policy(make) if make else None,
+                    policy(mover) if mover else None)
     try:
         await worker.over
     except RuntimeError as err:
--- a/curlewhall/drills/fleet.py
+++ b/curlewhall/drills/fleet.py
@@ -145,6 +145,7 @@
             file.console.token_file = plan["console_token"]
     if plan.get("daemon"):
         file.daemon.folder, file.daemon.workers = daemon_folder(plan, index), plan["daemon"]
+        file.daemon.reuse_port = plan.get("reuse_port", False)
     if plan.get("durability"):
         file.state.folder = str(Path(plan["folder"]) / f"{front['name']}.state")
         file.state.durability = int(plan["durability"] == "strict")
--- a/curlewhall/front/serve.py
+++ b/curlewhall/front/serve.py
@@ -1,6 +1,7 @@
 """One front as a process: puts the sides together, runs until it is told to stop."""
 
 import asyncio
+import gc
 import importlib
 import os
 import signal
@@ -56,6 +57,17 @@
                              for name, (field, unit) in named.items() if given.HasField(field)})
 
 
+def calm_collector() -> None:
+    """What lives as long as the process is not looked through again and again.
+
+    Danger: with 10,000 plays held the collector's full rounds stop the loop for tens of milliseconds. Plays
+    and their parts are freed by reference counts; cycles are few, so rounds can be rare.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(20_000, 20, 50)
+
+
 class FrontProcess:
     """A front within a running loop; `start` opens its sockets, `stop` answers what it took and closes
     them. `coming`: what a predecessor hands over (`daemon.handover.Coming`), None for one that starts alone.
@@ -110,7 +122,9 @@
                 state.apply(entry)
             store = Memory(state, self.loop)
         strict = bool(file.state.folder) and file.state.durability == STRICT
-        self.driver.keeper = Keeper(store, strict, self.driver.card, state)
+        # a folder that is empty may be one whose files were lost: only without one is it surely a first start
+        alone = not file.state.folder and self.coming is None
+        self.driver.keeper = Keeper(store, strict, self.driver.card, state, alone)
 
     def open_peers(self) -> None:
         """`OSError` where the address is taken."""
@@ -200,6 +214,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         front.loop.add_signal_handler(number, told.set)
     await front.start()
+    calm_collector()
     await told.wait()
     log.info("stopping")
     await front.stop()
--- a/curlewhall/front/viewers.py
+++ b/curlewhall/front/viewers.py
@@ -69,6 +69,9 @@
     def take(self, exchange: Exchange, name: str, query: str) -> None:
         given = dict(parse_qsl(query, keep_blank_values=True, max_num_fields=16))
         title = self.titles.get(name)
+        if title is None and not self.titles:
+            problems.answer(exchange, 503, "This front has just started and has no list yet", away=1000)
+            return
         if title is None:
             problems.answer(exchange, 404, f"title {name!r} is not in the list")
             return
--- a/curlewhall/recovery/run.py
+++ b/curlewhall/recovery/run.py
@@ -36,10 +36,14 @@
 
 
 class Keeper(NoKeeper):
-    """Writes entries to a store. `strict`: a paid or further allocation goes out only once it is on disk."""
+    """Writes entries to a store. `strict`: a paid or further allocation goes out only once it is on disk.
 
-    def __init__(self, store: Store | Memory, strict: bool, card: dict, state: State) -> None:
-        self.store, self.strict, self.state = store, strict, state
+    `alone`: no process of this front was there before, so that the module's own count of the budget is whole.
+    """
+
+    def __init__(self, store: Store | Memory, strict: bool, card: dict, state: State,
+                 alone: bool = False) -> None:
+        self.store, self.strict, self.state, self.alone = store, strict, state, alone
         now = unix_ms()
         look_back = card.get("rules.look_back")
         self.window = Window(self.state, now, None if look_back is None else look_back // 10,
@@ -48,7 +52,7 @@
         self.second, self.count = 0, 0
 
     def may(self) -> bool:
-        return self.window.may(unix_ms(), self.count)
+        return self.alone or self.window.may(unix_ms(), self.count)
 
     def sending(self, held, number: int, node: str, paid: bool, go: Callable[[bool], None]) -> bool:
         """Whether the allocation may go out now; if not, `go` is called once it may, or may not."""
--- a/curlewhall/wire/server.py
+++ b/curlewhall/wire/server.py
@@ -17,12 +17,17 @@
 READ = 2048  # bytes of a connection's own buffer: a viewer's request takes a few hundred
 
 
-def listen(address: str, port: int, backlog: int = 4096) -> socket.socket:
-    """A listening socket that does not block; `OSError` where the address is taken."""
+def listen(address: str, port: int, backlog: int = 4096, share: bool = False) -> socket.socket:
+    """A listening socket that does not block; `OSError` where the address is taken.
+
+    `share`: several sockets of this user may listen there, and the kernel spreads who comes (SO_REUSEPORT).
+    """
     family = socket.AF_INET6 if ":" in address else socket.AF_INET
     sock = socket.socket(family, socket.SOCK_STREAM)
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if share:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
         sock.bind((address, port))
         sock.listen(backlog)
         sock.setblocking(False)
@@ -81,8 +86,10 @@
 class Connection:
     """One client: a task that reads, and one that writes while there is something to write."""
 
-    def __init__(self, server: "Server", sock: socket.socket, peer, first: bytes = b"") -> None:
+    def __init__(self, server: "Server", sock: socket.socket, peer, first: bytes = b"",
+                 routed: bool = False) -> None:
         self.server, self.sock, self.peer, self.first = server, sock, peer, first
+        self.raw, self.routed = b"", routed  # of the request under way; whether it was sent here on purpose
         self.exchanges: deque[Exchange] = deque()
         self.closed = self.writing = self.last = False
         self.room = asyncio.Event()
@@ -120,10 +127,21 @@
                 if self.last:
                     continue  # nothing more is taken; only the hang-up is waited for
                 if self.server.heir is not None and parser.current is None and not self.exchanges:
-                    self.release(data)
+                    self.release(self.server.heir, data)
                     return
+                route = self.server.route
+                if route is not None:
+                    self.raw = data if parser.current is None else self.raw + data
                 try:
                     parser.feed(data)
+                    if route is not None and parser.messages and parser.current is None \
+                            and not self.exchanges:
+                        other = None if self.routed else route(parser.messages)
+                        self.routed = False
+                        if other is not None:
+                            parser.messages.clear()
+                            self.release(other, self.raw)
+                            return
                 finally:
                     while parser.messages:
                         self.take(parser.messages.popleft())
@@ -195,13 +213,13 @@
             self.writing = False
         self.ready()
 
-    def release(self, data: bytes) -> None:
-        """Give the connection, and what was read of its next request, to this server's heir."""
+    def release(self, to: Callable[[socket.socket, bytes], None], data: bytes) -> None:
+        """Give the connection, and what was read of its next request, to another server."""
         self.closed = True
         self.server.connections.discard(self)
         if self.limit is not None:
             self.limit.cancel()
-        self.server.heir(self.sock, data)
+        to(self.sock, data)
 
     def abort(self) -> None:
         """Close so that the other side sees a reset (RFC 9293 section 3.10.5)."""
@@ -235,7 +253,8 @@
     """Accepts until `stop`. More connections than the limit are closed unanswered.
 
     `heir(sock, data)`, once it is set, gets each connection with the first bytes of its next request; what
-    was begun before is still answered here.
+    was begun before is still answered here. `route(messages)` may name another server, in the same form, for
+    requests at the head of a connection on which nothing is owed.
     """
 
     AT_ONCE = 64  # connections accepted in one turn of the loop, so that a rush leaves time for the rest
@@ -247,6 +266,7 @@
         self.turned_away = self.slow = 0
         self.accepted: Callable[[Connection], bool] | None = None
         self.heir: Callable[[socket.socket, bytes], None] | None = None
+        self.route: Callable[[deque], Callable[[socket.socket, bytes], None] | None] | None = None
         self.accepting = False
         self.accept()
 
@@ -283,9 +303,9 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.adopt(sock, peer)
 
-    def adopt(self, sock: socket.socket, peer, first: bytes = b"") -> None:
-        """Serve a connection, of which `first` was read already."""
-        line = Connection(self, sock, peer, first)
+    def adopt(self, sock: socket.socket, peer, first: bytes = b"", routed: bool = False) -> None:
+        """Serve a connection, of which `first` was read already; `routed`: whoever it would go to else."""
+        line = Connection(self, sock, peer, first, routed)
         self.connections.add(line)
         if self.accepted is not None and not self.accepted(line):
             line.close()
