A front that leaves gives its plays to its peers

The peer takes an offered play: it counts the seat, asks the node to change the play's front, and only the node's yes makes it the peer's; a later 410 names the new place of the manifest.

--- a/curlewhall/drills/fleet.py
+++ b/curlewhall/drills/fleet.py
@@ -109,7 +109,9 @@
     for pair, (address, port) in plan["relay"]["legs"].items():
         one, other = map(int, pair.split(":"))
         if one == index:
-            file.peer.add(index=other, address=address, port=port)
+            there = plan["fronts"][other]
+            file.peer.add(index=other, address=address, port=port,
+                          url=f"http://{there['address']}:{there['port']}")
     for product in plan["products"]:
         file.product.add(name=product["name"], importance=product["importance"], floor=product["floor"],
                          first_frame_target_ms=product["target_ms"], time_limit_ms=product["limit_ms"],
--- a/curlewhall/drills/restart.py
+++ b/curlewhall/drills/restart.py
@@ -53,3 +53,18 @@
 def steady(rng: random.Random, plan: dict, day: Day) -> Script:
     prepare(plan)
     return Script([], claims(), [], figures)
+
+
+def leave(rng: random.Random, plan: dict, day: Day) -> Script:
+    """Fronts are stopped for good, one after the other, and come back later: peers take their plays."""
+    prepare(plan)
+    steps, at = [], rng.uniform(3, 4)
+    while at < day.seconds - 5:
+        front = rng.choice(plan["fronts"])["name"]
+        steps += [(at, "daemon", front, "stop"), (at + 3.0, "front", front)]
+        at += rng.uniform(4.0, 5.0)
+    found = claims()
+    found["lost_in_seams"] = (0, lambda counts, rows: sum(row["why"] == "lost by a move" for row in rows
+                                                         if row["what"] == "watched"))
+    return Script(steps, found, ["leave"], lambda rows: figures(rows) | {
+        "given": sum(row["what"] == "given" for row in rows)})
--- a/curlewhall/front/driver.py
+++ b/curlewhall/front/driver.py
@@ -139,13 +139,24 @@
         """A play of an earlier process of this front, found at its node."""
         now = self.clock.now()
         held = Held(facts, title, None, now, now)
+        self.log.info("resumed", play=facts.play, node=node, rung=facts.rung)
+        self.found_at(held, node)
+        self.holds(held, node)
+
+    def found_at(self, held: Held, node: str) -> None:
+        """Tell the module of a play that it did not place; it takes its seat from now on."""
+        facts, title = held.facts, held.title
+        self.hear("resumed", facts.play, facts.product, facts.customer, facts.viewer, facts.title,
+                  title.first_place, title.places, facts.top, None, node)
+
+    def holds(self, held: Held, node: str) -> None:
+        """A play that the module was told of by `found_at` is this front's."""
+        facts = held.facts
         held.answered, held.number, held.playing, held.offset, held.node = True, 0, 0, facts.number, node
+        held.rung = facts.rung
         self.plays[facts.play] = held
         self.counts["resumed"] += 1
         self.viewers.resumed(held)
-        self.log.info("resumed", play=facts.play, node=node, rung=facts.rung)
-        self.hear("resumed", facts.play, facts.product, facts.customer, facts.viewer, facts.title,
-                  title.first_place, title.places, facts.top, None, node)
         self.hear("note", facts.play, 0, node, "rung", float(facts.rung))
         self.moves.playing(held)
 
--- a/curlewhall/front/problems.py
+++ b/curlewhall/front/problems.py
@@ -9,6 +9,7 @@
     403: ("not-from-here", "This is not taken from where it came"),
     404: ("unknown", "No such thing is listed"),
     405: ("method", "Only GET is answered here"),
+    409: ("not-taken", "This does not fit what is held here"),
     502: ("failed", "The play could not be set up; whether it ran is not known"),
     503: ("declined", "There is no room now; nothing was set up"),
 }
--- a/curlewhall/front/serve.py
+++ b/curlewhall/front/serve.py
@@ -27,6 +27,7 @@
 from .driver import Driver
 from .listing import Follower
 from .nodes import Nodes
+from .parting import Giving
 from .peers import Peers
 from .viewers import Viewers
 
@@ -102,6 +103,7 @@
         self.driver.moves = Moves(self.driver, self.timers, (mover or Mover)(
             self.driver.clock.now(), card, drain_within))
         self.server = self.console = None
+        self.hurried = False
         if coming is not None:
             coming.take_up(self)
 
@@ -179,18 +181,21 @@
 
     def hurry(self) -> None:
         """Danger: a stop that is to be short must still answer. What is under way is failed and ended."""
+        self.hurried = True
         for held in list(self.driver.plays.values()):
             if not held.answered:
                 self.driver.overdue(held)
 
     async def stop(self) -> None:
-        """Take nothing new, answer what was taken, then close.
+        """Take nothing new, answer what was taken, give to peers what plays, then close.
 
         New plays get 503 with Retry-After meanwhile, over old connections and new ones.
         """
         self.viewers.open = False
         while self.owes():
             await asyncio.sleep(0.01)
+        if not self.hurried and (given := await Giving(self).all()):
+            self.log.info("given to peers", plays=given, left=len(self.driver.plays))
         if self.server is not None:
             self.server.pause()
         await asyncio.sleep(0.05)  # the last answers go out
--- a/curlewhall/front/viewers.py
+++ b/curlewhall/front/viewers.py
@@ -12,6 +12,7 @@
 
 from . import problems
 from .driver import Driver, Held
+from .parting import Taking
 
 SEGMENT = 1.0  # seconds; short segments let a changed rung be seen soon
 MOVED = 10_000  # plays moved lately whose viewers have yet to come again
@@ -34,12 +35,14 @@
         self.away: OrderedDict[str, str] = OrderedDict()  # play moved -> its viewer
         self.successors: OrderedDict[str, Held] = OrderedDict()  # play moved -> what goes on with it
         self.found: OrderedDict[tuple, list[Held]] = OrderedDict()  # (viewer, title, product) -> resumed
-        self.open, self.follower = True, None
+        self.open, self.follower, self.taking = True, None, Taking(self)
 
     def handle(self, exchange: Exchange) -> None:
         url = urlsplit(exchange.request.target)
         if url.path == "/v1/drain" and exchange.request.method == "POST":
             self.drain(exchange, dict(parse_qsl(url.query)))
+        elif url.path == "/v1/offer" and exchange.request.method == "POST":
+            self.taking.offered(exchange)
         elif exchange.request.method != "GET":
             problems.answer(exchange, 405, f"not {exchange.request.method}")
         elif url.path.startswith("/play/"):
--- a/curlewhall/rules/judge.py
+++ b/curlewhall/rules/judge.py
@@ -235,6 +235,13 @@
             name = row["at"], row["play"], row["number"]
             if name in where:
                 held[where[name]].pop(name, None)
+        elif row["what"] == "given" and (name := (row["at"], row["play"], row["number"])) in where:
+            there = held[where[name]].pop(name, None)
+            key = where[name] = row["front"], *where[name][1:]
+            if there is not None:
+                held[key][name] = there
+                if len(held[key]) > terms.seats[key[2]]:
+                    over.append((row | {"product": key[2]}, list(held[key].values())))
     ends = {(r["at"], r["play"], r["number"]): r["t"] for r in rows if r["what"] == "end"}
     for row, there in over:
         # an end on one node and a set-up on another may be written in either order
--- a/curlewhall/settings/load.py
+++ b/curlewhall/settings/load.py
@@ -148,6 +148,8 @@
         yield "identity.name", repr(identity.name), "1 to 64 letters, digits, dots, dashes"
     yield from once(lambda i: f"peer[{i}].index", [peer.index for peer in file.peer])
     for i, peer in enumerate(file.peer):
+        if peer.url and not re.fullmatch(r"http://([0-9.]+|\[[0-9a-fA-F:]+\]):\d{1,5}/?", peer.url):
+            yield f"peer[{i}].url", repr(peer.url), "http://ADDRESS:PORT"
         if peer.HasField("index") and peer.index == identity.index:
             yield f"peer[{i}].index", str(peer.index), "another front's index, not this one's"
 
--- a/curlewhall/standins/crowd.py
+++ b/curlewhall/standins/crowd.py
@@ -113,9 +113,9 @@
         patience = None if who["patience"] is None or number else who["patience"] * product["limit_ms"] / 1000
         return await self.request(who, f"{who['viewer']}/{number}", front, target, patience, number == 0)
 
-    async def follow(self, who: dict, number: int, moves: int, plan, play: str):
-        """Ask for a moved play's manifest anew, where the old one says (MPD Location)."""
-        host, _, path = plan.location.partition("://")[2].partition("/")
+    async def follow(self, who: dict, number: int, moves: int, location: str):
+        """Ask for a moved play's manifest anew, where the node or the old one (MPD Location) says."""
+        host, _, path = location.partition("://")[2].partition("/")
         front = next(i for i, pool in enumerate(self.fronts) if pool.host == host)
         target = f"/{path}&limit_ms={who['product']['limit_ms']}"
         return await self.request(who, f"{who['viewer']}/{number}+{moves}", front, target, None, False)
@@ -170,7 +170,8 @@
                 took = self.loop.time() - asked
                 if reply.ending == "ok" and reply.message.status == 410 and plan.location:
                     # the play has gone from this node: the manifest is asked for anew, and goes on elsewhere
-                    follows, was = await self.follow(who, number, moves, plan, play), play
+                    location = reply.message.headers.get("location", plan.location)
+                    follows, was = await self.follow(who, number, moves, location), play
                     gap = self.loop.time() - asked
                     stalled += max(0.0, gap - buffer)
                     self.records.write("viewer", "seam", ask=f"{who['viewer']}/{number}", play=was,
--- a/curlewhall/standins/node.py
+++ b/curlewhall/standins/node.py
@@ -40,6 +40,7 @@
         self.faults: dict[str, float] = {}
         self.plays: dict[str, Play] = {}
         self.streams: dict[str, Exchange] = {}
+        self.elsewhere: dict[str, str] = {}  # play given to another front -> its manifest there
         self.away: dict[str, Exchange] = {}  # front -> its last stream, while it has none
         self.server: Server | None = None
         self.count, self.smooth, self.short, self.life = 0, 1.0, False, 0
@@ -103,6 +104,8 @@
             self.viewer(exchange, parts[1:], query.get("t", ""), url.query)
         elif method == "PUT" and parts[:2] == ["v1", "plays"] and parts[3:] == ["rung"]:
             self.set_rung(exchange, parts[2])
+        elif method == "PUT" and parts[:2] == ["v1", "plays"] and parts[3:] == ["front"]:
+            self.give(exchange, parts[2])
         elif method == "DELETE" and parts[:2] == ["v1", "plays"] and len(parts) == 3:
             play = self.plays.get(parts[2])
             found = play is not None and str(play.facts.number) == query.get("number")
@@ -208,6 +211,24 @@
                            product=play.facts.product)
         exchange.reply(204)
 
+    def give(self, exchange: Exchange, name: str) -> None:
+        """A play goes to another front, one that has a stream here."""
+        play = self.plays.get(name)
+        try:
+            asked = forms.decode(forms.Given, exchange.request.body)
+        except forms.Malformed as err:
+            exchange.reply(400, {}, str(err).encode())
+            return
+        if play is None or not play.playing or play.facts.number != asked.number:
+            exchange.reply(404)
+        elif asked.front not in self.streams:
+            exchange.reply(409)
+        else:
+            self.records.write(self.at, "given", play=name, number=asked.number, front=asked.front,
+                               was=play.front)
+            play.front, self.elsewhere[name] = asked.front, asked.location
+            exchange.reply(204)
+
     def viewer(self, exchange: Exchange, parts: list[str], token: str, query: str) -> None:
         """GET s/PLAY/NUMBER/seg/rR/N or POST s/PLAY/NUMBER/end, with the session's token."""
         try:
@@ -220,7 +241,8 @@
         if (session.play, str(session.number)) != (parts[0], parts[1]):
             exchange.reply(403)
         elif play is None or not play.playing or play.facts.number != session.number:
-            exchange.reply(410)
+            where = self.elsewhere.get(parts[0])
+            exchange.reply(410, {"location": where} if where else {})
         elif parts[2:] == ["end"]:
             exchange.reply(204)
             self.close(play, "ok")
--- a/curlewhall/wire/forms.py
+++ b/curlewhall/wire/forms.py
@@ -51,6 +51,22 @@
     rung: int
 
 
+class Given(msgspec.Struct, frozen=True):
+    """PUT /v1/plays/PLAY/front: another front holds the play from now on; `location`: its manifest there."""
+
+    number: int
+    front: str
+    location: str
+
+
+class Offer(msgspec.Struct, frozen=True):
+    """POST /v1/offer, at a front: take over this play, which plays at `node`."""
+
+    front: str
+    facts: Facts
+    node: str
+
+
 class Load(msgspec.Struct, frozen=True):
     """GET /v1/load."""
 
