--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -6,19 +6,24 @@
 """
 
 import argparse
+import asyncio
 import sys
 import tempfile
 import time
+from collections import deque
 from pathlib import Path
 
+import uvloop
+
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from front import ask, listening, process, serve  # noqa: E402
 from rig import plan_for  # noqa: E402
 
 from curlewhall.recovery import form  # noqa: E402
-from curlewhall.recovery.state import Out, Playing  # noqa: E402
-from curlewhall.recovery.store import Files  # noqa: E402
+from curlewhall.recovery.state import Out, Over, Playing, Took  # noqa: E402
+from curlewhall.recovery.store import Files, Store  # noqa: E402
+from curlewhall.wire.timers import Timers  # noqa: E402
 
 RIG = str(Path(__file__).with_name("rig.py"))
 WAYS = {"off": None, "lagging": "LAGGING", "strict": "STRICT"}
@@ -84,13 +89,45 @@
     return rows
 
 
+async def hour(rate: int, life: int) -> list[str]:
+    """An hour of plays in as little time as the disk takes: how large the folder becomes."""
+    with tempfile.TemporaryDirectory() as name:
+        loop = asyncio.get_running_loop()
+        files = Files(name, 10_000)
+        files.open()
+        store = Store(files, loop, Timers(loop), None)
+        sizes, count, written, ends = [], 0, 0, deque()
+        for second in range(3600):
+            for _ in range(rate):
+                count += 1
+                play = f"front-a-1f2e3d4c-{count:x}"
+                store.add(Out(play, 0, f"n{count % 170:03}", f"viewer-{count}", f"clip-{count % 300}",
+                              "paid", True, second * 1000))
+                store.add(Playing(play, 0))
+                ends.append((second + life, play))
+            while ends and ends[0][0] <= second:
+                store.add(Over(ends.popleft()[1]))
+            store.add(Took(second * 1000, rate))
+            while store.writing:
+                await asyncio.sleep(0)
+            sizes.append(sum(path.stat().st_size for path in Path(name).iterdir()))
+            written = max(written, files.generation)
+        assert len(files.state.out) == rate * life
+        store.close()
+        mean = sum(sizes) / len(sizes) / 1e6
+        return ["| an hour of | plays | held | generations | folder MB, mean | folder MB, most |",
+                "|" + " --- |" * 6, f"| {rate} plays a second | {count} | {rate * life} | {written} | "
+                                     f"{mean:.1f} | {max(sizes) / 1e6:.1f} |"]
+
+
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--seconds", type=float, default=5.0)
     parser.add_argument("--out", default="bench/results/recovery")
     asked = parser.parse_args()
     note = "14 stand-in nodes that answer at once, all on one machine; ratios within one run count."
-    text = "\n".join([*cost(asked.seconds), "", *starts(), "", note])
+    text = "\n".join([*cost(asked.seconds), "", *starts(), "",
+                      *uvloop.run(hour(30, 120)), "", note])
     Path(asked.out + ".md").write_text(text + "\n")
     print(text)
 
--- a/curlewhall/cli/main.py
+++ b/curlewhall/cli/main.py
@@ -9,7 +9,7 @@
 from rich.console import Console
 from rich.table import Table
 
-from . import daemon, logs
+from . import daemon, inventory, logs
 from .files import settings_of
 
 SHOWN = 12  # records shown of a broken rule
@@ -140,5 +140,6 @@
     sys.exit(draining.drain(node, fronts, back, wait, Console()))
 
 
-for command in (daemon.start, daemon.status, daemon.stop, daemon.restart, daemon.reload):
+for command in (daemon.start, daemon.status, daemon.stop, daemon.restart, daemon.reload,
+                inventory.inventory):
     main.add_command(command)
--- a/curlewhall/drills/__init__.py
+++ b/curlewhall/drills/__init__.py
@@ -8,13 +8,14 @@
 from .badday import badday
 from .disk import disk
 from .drain import drain, drain_cold, drain_crowd, drain_frozen_target, drain_rack
+from .inventory import inventory
 from .kill import kill
 from .play import Day, run
 from .restart import leave, restart, steady
 
 DRILLS = {"badday": badday, "drain": drain, "drain-frozen-target": drain_frozen_target,
           "drain-cold": drain_cold, "drain-rack": drain_rack, "drain-crowd": drain_crowd,
-          "kill": kill, "disk": disk, "restart": restart, "steady": steady,
+          "kill": kill, "disk": disk, "inventory": inventory, "restart": restart, "steady": steady,
           "leave": leave}
 
 __all__ = ["DRILLS", "Day", "run"]
--- a/curlewhall/drills/fleet.py
+++ b/curlewhall/drills/fleet.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import hashlib
 import json
 import os
 import random
@@ -21,8 +22,10 @@
 from google.protobuf import text_format
 
 from curlewhall.daemon.control import NotThere, ask
+from curlewhall.inventory import Inventory, yamlform
 from curlewhall.records import Writer
 from curlewhall.settings import front_pb2
+from curlewhall.wire import forms
 
 PORT = 8400
 RUNGS, WORTH = [200.0, 450.0, 900.0, 1800.0], [0.22, 0.5, 0.78, 1.0]
@@ -103,9 +106,12 @@
     file.identity.seed = plan["seed"] * 1000 % 2**31 + index + 1
     file.listen.address, file.listen.port = front["address"], front["port"]
     file.listen.peer_address, file.listen.peer_port = plan["relay"]["fronts"][str(index)]
-    file.list_service.address = plan["list_service"]["address"]
-    file.list_service.port = plan["list_service"]["port"]
-    file.list_service.kept_file = str(Path(plan["folder"]) / f"{front['name']}.list")
+    if plan.get("inventory"):
+        file.inventory.file = str(Path(plan["folder"]) / "fleet.yaml")
+    else:
+        file.list_service.address = plan["list_service"]["address"]
+        file.list_service.port = plan["list_service"]["port"]
+        file.list_service.kept_file = str(Path(plan["folder"]) / f"{front['name']}.list")
     for pair, (address, port) in plan["relay"]["legs"].items():
         one, other = map(int, pair.split(":"))
         if one == index:
@@ -172,6 +178,8 @@
         self.logs: list = []
         self.told: list[dict] = []  # what daemons answered
         self.telling: list[threading.Thread] = []
+        self.states: dict[str, str] = {}  # of nodes in the inventory, where there is one
+        self.digest = ""
 
     def __enter__(self) -> "Processes":
         # Danger: a drill that is told to end would leave its processes behind.
@@ -180,6 +188,8 @@
         key.touch(mode=0o600)
         key.write_bytes(secrets.token_bytes(32))
         (self.folder / "plan.json").write_text(json.dumps(self.plan))
+        if self.plan.get("inventory"):
+            self.swap_inventory("in", "")
         try:
             self.fleet = self.spawn("fleet", ["curlewhall.standins.fleet", str(self.folder / "plan.json")])
             self.await_line(self.fleet, "ready", "fleet")
@@ -281,6 +291,61 @@
         thread.start()
         self.telling.append(thread)
 
+    def inventory_text(self) -> str:
+        """The file as it is meant now: `states` tells what is not in it, or drains."""
+        rows = {s["node"]: forms.Row(s["node"], s["address"], s["port"], s["place"], s["zone"], s["kind"],
+                                     self.states.get(s["node"], "serving"), s["weight"])
+                for s in self.plan["nodes"] if self.states.get(s["node"]) != "out"}
+        titles = {t["title"]: forms.Title(**t) for t in self.plan["titles"]}
+        return yamlform.write(Inventory(rows, titles))
+
+    def swap_inventory(self, kind: str, node: str) -> None:
+        """Change the fronts' inventory, well or badly; tell the records what fronts should know; ask them."""
+        path, fresh = self.folder / "fleet.yaml", self.folder / "fleet.new"
+        if kind == "told":
+            self.tell_inventory(("serving", "draining", "out"))
+            return
+        if kind == "state":
+            self.ask_inventory()
+            return
+        states = {"drain": "draining", "out": "out", "back": "serving", "in": "serving"}
+        if kind in states:
+            self.states[node] = states[kind]
+            # what serves again may be known from this moment on; what leaves is known a while later
+            self.tell_inventory(("serving",))
+        text = self.inventory_text()
+        if kind == "pieces":
+            with open(path, "w") as file:
+                for i in range(0, len(text), len(text) // 6 + 1):
+                    file.write(text[i:i + len(text) // 6 + 1])
+                    file.flush()
+                    time.sleep(0.1)
+        else:
+            bad = {"figure": text.replace("port: ", "port: 0", 1), "cut": text[:len(text) // 2] + "  x",
+                   "most": "\n".join(text.split("\n")[:2 + 8 * max(1, len(self.plan["nodes"]) // 3)]) + "\n"}
+            fresh.write_text(bad.get(kind, text))
+            os.replace(fresh, path)
+        if kind not in ("figure", "cut", "most"):
+            self.digest = hashlib.sha256(text.encode()).hexdigest()[:12]
+        self.records.write("drill", "swapped", kind=kind, node=node)
+
+    def tell_inventory(self, states: tuple[str, ...]) -> None:
+        """Tell the judge what fronts know of nodes in these states."""
+        now = {s["node"]: self.states.get(s["node"], "serving") for s in self.plan["nodes"]}
+        rows = [[node, "draining" if state == "out" else state, 0] for node, state in now.items()
+                if state in states]
+        for front in self.plan["fronts"]:
+            self.records.write("list", "told", front=front["name"], how="changes", version=0, rows=rows)
+
+    def ask_inventory(self) -> None:
+        """Ask each front which inventory it goes by."""
+        for front in self.plan["fronts"]:
+            url = f"http://{front['address']}:{front['port']}/v1/inventory"
+            with contextlib.suppress(OSError), urllib.request.build_opener(
+                    urllib.request.ProxyHandler({})).open(url, timeout=10) as answer:
+                self.records.write("drill", "inventory", front=front["name"], expected=self.digest,
+                                   digest=json.loads(answer.read())["digest"])
+
     def start_crowd(self) -> None:
         self.crowd = self.spawn("crowd", ["curlewhall.standins.crowd", str(self.folder / "plan.json")])
 
--- a/curlewhall/drills/play.py
+++ b/curlewhall/drills/play.py
@@ -94,6 +94,8 @@
         processes.kill_front(*facts)
     elif what == "front":
         processes.start_front(*facts)
+    elif what == "inventory":
+        processes.swap_inventory(*facts)
     elif what == "disk":
         processes.set_disk(*facts)
     elif what == "die":
--- a/curlewhall/front/listing.py
+++ b/curlewhall/front/listing.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
+from curlewhall.inventory.form import Inventory
 from curlewhall.wire import forms
 from curlewhall.wire.client import Pool, Reply
 from curlewhall.wire.http import request_bytes
@@ -20,12 +21,13 @@
 class Follower:
     """One subscription, asked for again with growing pauses while it can't be had."""
 
-    def __init__(self, driver: Driver, pool: Pool, front: str, kept: str = "") -> None:
+    def __init__(self, driver: Driver, pool: Pool | None, front: str, kept: str = "") -> None:
         self.driver, self.pool, self.front, self.kept = driver, pool, front, kept
         self.rows: dict[str, forms.Row] = {}
         self.titles: dict[str, forms.Title] = {}
         self.version, self.tries = 0, 0
         self.lines, self.stream, self.silence, self.failing = forms.Lines(), None, None, False
+        self.spoken, self.watcher = False, None  # whether the service has; the operators' files
         self.leaving = False  # the successor follows; what it hears is told to this front
         self.tell: Callable[[forms.Listing], None] | None = None  # a predecessor that hears through this one
         self.drained: set[str] = set()  # by this front's operator, whatever the list says
@@ -40,7 +42,26 @@
             except (OSError, forms.Malformed) as err:
                 self.driver.log.warning("the kept list can't be read", why=str(err))
         self.version = 0  # what was kept may be of another life of the service: ask for all
-        self.subscribe()
+        if self.watcher is not None:
+            self.watcher.start()
+        if self.pool is not None:
+            self.subscribe()
+
+    def as_inventory(self) -> Inventory | None:
+        """What this front goes by now; None where it knows nothing yet."""
+        rows = {row.node: row for row in self.rows.values() if row.state != "gone"}
+        return Inventory(rows, dict(self.titles)) if rows else None
+
+    def from_files(self, rows: list[forms.Row], titles: list[forms.Title]) -> None:
+        """The operators' inventory, whole. Where there is a list service too, its word counts once it speaks:
+        it knows what runs; the files say what should.
+        """
+        if self.spoken:
+            missing = {row.node for row in rows} ^ {r.node for r in self.rows.values() if r.state != "gone"}
+            self.driver.log.warning("inventory and list service differ", nodes=sorted(missing)[:20])
+            return
+        how = "whole" if self.pool is None else "old_copy"
+        self.take(forms.Listing("whole", self.version + 1 if self.pool is None else 0, 0, rows, titles), how)
 
     def subscribe(self) -> None:
         self.lines = forms.Lines()
@@ -66,7 +87,7 @@
             self.driver.timers.after(0, self.stream.withdraw)
 
     def line(self, listing: forms.Listing) -> None:
-        self.tries, self.failing = 0, False
+        self.tries, self.failing, self.spoken = 0, False, True
         if listing.how == "whole":
             self.take(listing, "whole")
         elif listing.how == "changes" and listing.since == self.version and self.version:
@@ -112,11 +133,18 @@
     def leave(self) -> None:
         """Danger: two subscriptions under one name, each taken for the other's death, end each other."""
         self.leaving = True
+        if self.watcher is not None:
+            self.watcher.close()
         if self.silence is not None:
             self.silence.cancel()
 
     def come_back(self) -> None:
         self.leaving = False
+        if self.watcher is not None:
+            self.watcher.closed = False
+            self.watcher.look()
+        if self.pool is None:
+            return
         if self.stream is None:
             self.subscribe()
         else:
@@ -149,4 +177,7 @@
         self.driver.timers.after(pause, self.subscribe)
 
     def close(self) -> None:
-        self.pool.close()
+        if self.watcher is not None:
+            self.watcher.close()
+        if self.pool is not None:
+            self.pool.close()
--- a/curlewhall/front/serve.py
+++ b/curlewhall/front/serve.py
@@ -11,12 +11,14 @@
 import uvloop
 
 from curlewhall.dash.tokens import read_key
+from curlewhall.inventory.run import Files, Watcher
 from curlewhall.moves import Mover
 from curlewhall.moves.run import Moves
 from curlewhall.recovery.form import Newer
 from curlewhall.recovery.run import Keeper
 from curlewhall.recovery.state import State
-from curlewhall.recovery.store import Busy, Files, Memory, Store
+from curlewhall.recovery.store import Busy, Memory, Store
+from curlewhall.recovery.store import Files as StateFiles
 from curlewhall.settings import rate_card
 from curlewhall.settings.front_pb2 import STRICT, FrontFile
 from curlewhall.wire.client import Pool
@@ -95,11 +97,17 @@
                            (may.probe_time_limit_ms or 250) / 1000)
         self.peers = Peers(self.driver, {p.index: (p.address, p.port) for p in file.peer})
         self.driver.viewers, self.driver.nodes, self.driver.peers = self.viewers, self.nodes, self.peers
-        service = Pool(self.loop, self.timers, file.list_service.address, file.list_service.port)
+        service = None if not file.HasField("list_service") else Pool(
+            self.loop, self.timers, file.list_service.address, file.list_service.port)
         self.follower = Follower(self.driver, service, name, file.list_service.kept_file)
         self.viewers.follower = self.follower
         self.open_store()
         drain_within = 10 * (file.moves.drain_within_ms or 30_000)
+        if file.inventory.file:
+            self.follower.watcher = Watcher(
+                Files(file.inventory.file, file.inventory.titles_file), file.fleet.places, drain_within,
+                self.timers, self.driver.clock, log, self.follower.from_files,
+                lambda node: len(self.driver.moves.mover.at.get(node, ())), self.follower.as_inventory)
         self.driver.moves = Moves(self.driver, self.timers, (mover or Mover)(
             self.driver.clock.now(), card, drain_within))
         self.server = self.console = None
@@ -114,7 +122,7 @@
         """
         file, log = self.file, self.log
         if file.state.folder:
-            files = Files(file.state.folder, file.rules.look_back_ms,
+            files = StateFiles(file.state.folder, file.rules.look_back_ms,
                           tell=lambda what, **facts: log.warning(what, **facts))
             state = files.open()
             store = Store(files, self.loop, self.timers, log)
--- a/curlewhall/front/viewers.py
+++ b/curlewhall/front/viewers.py
@@ -41,6 +41,8 @@
         url = urlsplit(exchange.request.target)
         if url.path == "/v1/drain" and exchange.request.method == "POST":
             self.drain(exchange, dict(parse_qsl(url.query)))
+        elif url.path == "/v1/inventory" and exchange.request.method == "POST":
+            self.confirm(exchange, dict(parse_qsl(url.query)))
         elif url.path == "/v1/offer" and exchange.request.method == "POST":
             self.taking.offered(exchange)
         elif exchange.request.method != "GET":
@@ -52,15 +54,33 @@
                 problems.answer(exchange, 400, str(err))
         elif url.path == "/v1/state":
             exchange.reply(200, {"content-type": "application/json"}, msgspec.json.encode(self.state()))
+        elif url.path == "/v1/inventory" and self.follower.watcher is not None:
+            exchange.reply(200, {"content-type": "application/json"}, msgspec.json.encode(
+                self.follower.watcher.state()))
         elif url.path == "/v1/moves":
             exchange.reply(200, {"content-type": "application/json"}, msgspec.json.encode(
                 self.driver.moves.progress()))
         else:
             problems.answer(exchange, 404, "viewers ask for /play/TITLE")
 
+    def here(self, exchange: Exchange) -> bool:
+        return exchange.line.peer[0].startswith("127.") or exchange.line.peer[0] == "::1"
+
+    def confirm(self, exchange: Exchange, given: dict[str, str]) -> None:
+        """A person's word for a change of the inventory that waits; from this machine only."""
+        watcher = self.follower.watcher
+        if not self.here(exchange):
+            problems.answer(exchange, 403, "changes are confirmed from this machine")
+        elif watcher is None:
+            problems.answer(exchange, 404, "this front has no inventory")
+        elif why := watcher.confirm(given.get("confirm", "")):
+            problems.answer(exchange, 409, why)
+        else:
+            exchange.reply(200, {"content-type": "application/json"}, msgspec.json.encode(watcher.state()))
+
     def drain(self, exchange: Exchange, given: dict[str, str]) -> None:
         """An operator's drain of a node at this front, or its calling back; from this machine only."""
-        if not exchange.line.peer[0].startswith("127.") and exchange.line.peer[0] != "::1":
+        if not self.here(exchange):
             problems.answer(exchange, 403, "drains are told from this machine")
         elif given.get("node", "") not in self.driver.nodes.nodes:
             problems.answer(exchange, 404, f"node {given.get('node', '')!r} is not in the list")
--- a/curlewhall/settings/load.py
+++ b/curlewhall/settings/load.py
@@ -98,10 +98,13 @@
 
 def checks(file: front_pb2.FrontFile) -> Wrong:
     """Everything that is wrong, field by field."""
-    lacking = [name for name in NEEDED if not file.HasField(name)]
+    needed = NEEDED if not file.inventory.file or file.HasField("list_service") else \
+        {name: fields for name, fields in NEEDED.items() if name != "list_service"}
+    lacking = [name for name in needed if not file.HasField(name)]
     for name in lacking:
-        yield name, "nothing", f"a group {name} {{ ... }}"
-    for name, fields in NEEDED.items():
+        more = ", or an inventory { file: ... }" if name == "list_service" else ""
+        yield name, "nothing", f"a group {name} {{ ... }}{more}"
+    for name, fields in needed.items():
         for field in missing(getattr(file, name), fields) if name not in lacking else ():
             yield f"{name}.{field}", "nothing", "a value"
     for name, fields in NEEDED_OF_EACH.items():
@@ -110,7 +113,7 @@
                 yield f"{name}[{i}].{field}", "nothing", "a value"
     if not file.product:
         yield "product", "none", "one product at least"
-    for check in (addresses, ladder, products, fleet, rules, limits, keys, console):
+    for check in (addresses, ladder, products, fleet, rules, limits, keys, console, inventory):
         yield from check(file)
 
 
@@ -271,3 +274,13 @@
         yield where, f"{facts.st_size} bytes", f"{least} bytes at least"
     if stat.S_IMODE(facts.st_mode) & 0o077:
         yield where, f"mode {stat.S_IMODE(facts.st_mode):o}", "no access but the owner's (600)"
+
+
+def inventory(file) -> Wrong:
+    if not file.HasField("inventory"):
+        return
+    if not file.inventory.file:
+        yield "inventory.file", "nothing", "the name of a file"
+    elif file.inventory.titles_file and file.inventory.file.lower().endswith((".yaml", ".yml")):
+        yield "inventory.titles_file", repr(file.inventory.titles_file), \
+            "none: titles stand in the YAML file itself"
