--- a/bench/drills.py
+++ b/bench/drills.py
@@ -18,7 +18,8 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 SUMS = ("plays", "served", "declined", "failed", "unanswered", "lost_with_front", "moves", "lost_by_move",
-        "cut", "kills", "held_at_kill", "restarts", "restarts_failed", "not_resumed", "paid_twice", "given", "swaps", "broken_files", "fronts_behind")
+        "cut", "kills", "held_at_kill", "restarts", "restarts_failed", "not_resumed", "paid_twice", "given",
+        "swaps", "broken_files", "fronts_behind")
 MEANS = ("service", "worth", "stalled_share", "stall_a_play", "empty_after", "peak",
          "restart_mean", "answer_p50_ms", "answer_p99_ms")
 MOST = ("seam_longest", "restart_longest", "answer_longest_ms")
--- a/curlewhall/drills/fleet.py
+++ b/curlewhall/drills/fleet.py
@@ -321,7 +321,7 @@
                     file.flush()
                     time.sleep(0.1)
         else:
-            bad = {"figure": text.replace("port: ", "port: 0", 1), "cut": text[:len(text) // 2] + "  x",
+            bad = {"figure": text.replace("port: ", "port: 9", 1), "cut": text[:len(text) // 2] + "  x",
                    "most": "\n".join(text.split("\n")[:2 + 8 * max(1, len(self.plan["nodes"]) // 3)]) + "\n"}
             fresh.write_text(bad.get(kind, text))
             os.replace(fresh, path)
--- a/curlewhall/front/peers.py
+++ b/curlewhall/front/peers.py
@@ -14,6 +14,7 @@
         self.driver, self.addresses = driver, addresses
         self.by_address = {address: index for index, address in addresses.items()}
         self.transport = None
+        self.members = None  # membership, where the settings have keys for it
         self.heard: dict[int, int] = {}  # peer -> when it was last heard of
 
     def connection_made(self, transport) -> None:
@@ -21,6 +22,9 @@
 
     def datagram_received(self, data: bytes, source) -> None:
         index = self.by_address.get((source[0], source[1]))
+        if index is not None and self.members is not None and self.members.heard(data):
+            self.heard[index] = self.driver.clock.now()
+            return
         if index is not None and len(data) <= MOST:
             self.heard[index] = self.driver.clock.now()
             self.driver.hear("told", index, data)
--- a/curlewhall/front/serve.py
+++ b/curlewhall/front/serve.py
@@ -12,6 +12,8 @@
 
 from curlewhall.dash.tokens import read_key
 from curlewhall.inventory.run import Files, Watcher
+from curlewhall.members.form import read_keys
+from curlewhall.members.run import Membership
 from curlewhall.moves import Mover
 from curlewhall.moves.run import Moves
 from curlewhall.recovery.form import Newer
@@ -97,6 +99,11 @@
                            (may.probe_time_limit_ms or 250) / 1000)
         self.peers = Peers(self.driver, {p.index: (p.address, p.port) for p in file.peer})
         self.driver.viewers, self.driver.nodes, self.driver.peers = self.viewers, self.nodes, self.peers
+        if file.members.key_file:
+            self.peers.members = Membership(
+                file.identity.index, sorted(self.peers.addresses), read_keys(file.members.key_file), seed,
+                self.driver.clock, self.timers, log, self.peers.send,
+                lambda: sum(len(plays) for plays in self.driver.moves.mover.at.values()))
         service = None if not file.HasField("list_service") else Pool(
             self.loop, self.timers, file.list_service.address, file.list_service.port)
         self.follower = Follower(self.driver, service, name, file.list_service.kept_file)
@@ -138,7 +145,7 @@
 
     def open_peers(self) -> None:
         """`OSError` where the address is taken."""
-        where = self.file.listen
+        where, self.peer_task = self.file.listen, None
         if where.peer_port:
             address = where.peer_address or where.address
             family = socket.AF_INET6 if ":" in address else socket.AF_INET
@@ -175,6 +182,10 @@
             self.open_console(page)
         self.server = Server(self.loop, self.timers, sock, self.viewers.handle, limits(self.file))
         self.follower.start()
+        if self.peers.members is not None:
+            if self.peer_task is not None:
+                await self.peer_task
+            self.peers.members.start()
         self.log.info("ready", front=self.file.identity.name, address=where.address, port=where.port)
 
     def open_console(self, page: socket.socket) -> None:
@@ -204,6 +215,8 @@
             await asyncio.sleep(0.01)
         if not self.hurried and (given := await Giving(self).all()):
             self.log.info("given to peers", plays=given, left=len(self.driver.plays))
+        if self.peers.members is not None:
+            self.peers.members.leave()
         if self.server is not None:
             self.server.pause()
         await asyncio.sleep(0.05)  # the last answers go out
@@ -217,6 +230,8 @@
             self.console.close()
         if self.server is not None:
             self.server.close()
+        if self.peers.members is not None:
+            self.peers.members.close()
         self.close_peers()
         self.driver.keeper.close()
 
--- a/curlewhall/front/viewers.py
+++ b/curlewhall/front/viewers.py
@@ -237,6 +237,7 @@
         return {"front": self.front, "counts": driver.counts, "titles": len(self.titles),
                 "held": sum(held.playing is not None for held in driver.plays.values()),
                 "setting_up": sum(bool(held.out) for held in driver.plays.values()),
+                **({"members": driver.peers.members.state()} if driver.peers.members is not None else {}),
                 "nodes": driver.nodes.state()}
 
 
--- a/curlewhall/settings/load.py
+++ b/curlewhall/settings/load.py
@@ -10,6 +10,8 @@
 
 from google.protobuf import text_format
 
+from curlewhall.members.form import read_keys
+
 from . import front_pb2
 from .positions import positions
 
@@ -277,6 +279,15 @@
 
 
 def inventory(file) -> Wrong:
+    if file.HasField("members"):
+        if not file.members.key_file:
+            yield "members.key_file", "nothing", "the name of a file with keys"
+        else:
+            yield from secret("members.key_file", file.members.key_file, 32)
+            try:
+                read_keys(file.members.key_file)
+            except (OSError, ValueError) as err:
+                yield "members.key_file", str(err), "keys in hexadecimal, one a line"
     if not file.HasField("inventory"):
         return
     if not file.inventory.file:
