--- a/bench/drills.py
+++ b/bench/drills.py
@@ -22,7 +22,7 @@
         "swaps", "broken_files", "fronts_behind")
 MEANS = ("service", "worth", "stalled_share", "stall_a_play", "empty_after", "peak",
          "restart_mean", "answer_p50_ms", "answer_p99_ms")
-MOST = ("seam_longest", "restart_longest", "answer_longest_ms")
+MOST = ("seam_longest", "restart_longest", "console_longest", "answer_longest_ms")
 
 
 def day(name: str, seed: int, more: list[str], out: Path) -> None:
--- a/curlewhall/drills/fleet.py
+++ b/curlewhall/drills/fleet.py
@@ -247,6 +247,18 @@
             process.wait()
             self.records.write("drill", "killed", front=name)
 
+    def console_back(self, index: int) -> float:
+        """Seconds until a front's console shows its first page."""
+        front, began = self.plan["fronts"][index], time.monotonic()
+        url = f"http://{front['address']}:{self.plan['console']}/"
+        while time.monotonic() < began + 10:
+            with contextlib.suppress(OSError), urllib.request.build_opener(
+                    urllib.request.ProxyHandler({})).open(url, timeout=10) as page:
+                if page.status == 200 and b"curlewhall" in page.read():
+                    break
+            time.sleep(0.01)
+        return time.monotonic() - began
+
     def set_disk(self, name: str, fault: str) -> None:
         """What the disk of a front's state does from now on, see `faulty`."""
         path = self.folder / f"{name}.disk"
@@ -284,8 +296,10 @@
                 reply = ask(Path(daemon_folder(self.plan, index)), what)
             except NotThere as err:
                 reply = {"ok": False, "text": str(err)}
+            span = time.monotonic() - began
+            back = self.console_back(index) if what == "restart" and self.plan.get("console") else 0.0
             self.told.append({"front": name, "do": what, "ok": reply["ok"], "text": reply["text"],
-                              "span": round(time.monotonic() - began, 3)})
+                              "span": round(span, 3), "console": round(back, 3)})
 
         thread = threading.Thread(target=say, daemon=True)
         thread.start()
--- a/curlewhall/drills/restart.py
+++ b/curlewhall/drills/restart.py
@@ -20,6 +20,7 @@
     spans = sorted(row["span"] for row in told)
     return {"restarts": len(told), "restarts_failed": sum(not row["ok"] for row in told),
             "restart_longest": spans[-1] if spans else 0.0,
+            "console_longest": max((row["console"] for row in told), default=0.0),
             "restart_mean": round(sum(spans) / max(1, len(spans)), 3),
             "not_resumed": sum(row["why"] in ("orphan", "unknown") for row in ends),
             "answer_p50_ms": took[len(took) // 2] / 10 if took else 0.0,
@@ -43,11 +44,13 @@
 
 def restart(rng: random.Random, plan: dict, day: Day) -> Script:
     prepare(plan)
+    plan["console"] = 8600
     steps, at = [], rng.uniform(2, 3)
     while at < day.seconds - 2:
         steps.append((at, "daemon", rng.choice(plan["fronts"])["name"], "restart"))
         at += rng.uniform(*EVERY)
-    return Script(steps, claims(), ["restart"], figures)
+    back = {"console_longest": (2.0, lambda counts, rows: figures(rows)["console_longest"])}
+    return Script(steps, claims() | back, ["restart"], figures)
 
 
 def steady(rng: random.Random, plan: dict, day: Day) -> Script:
--- a/curlewhall/recovery/store.py
+++ b/curlewhall/recovery/store.py
@@ -127,15 +127,15 @@
             if ended:
                 self.tell("a log ends early", generation=generation, entries=len(rows), why=ended)
 
-    def begin(self, generation: int) -> None:
-        """A new generation: a snapshot of what is known, an empty log, the one before kept, older ones
-        gone.
+    def begin(self, generation: int, whole: bytes | None = None) -> None:
+        """A new generation: a snapshot (`whole`, or of what is known), an empty log; the one before is kept,
+        older ones go.
         """
-        whole = self.name("snapshot", generation)
-        fresh = whole.with_name("new-snapshot")
-        self.disk.write(fresh, form.snapshot(self.state.rows()))
+        there = self.name("snapshot", generation)
+        fresh = there.with_name("new-snapshot")
+        self.disk.write(fresh, form.snapshot(self.state.rows()) if whole is None else whole)
         self.disk.write(self.name("log", generation), form.head(form.LOG))
-        self.disk.replace(fresh, whole)
+        self.disk.replace(fresh, there)
         old, self.generation, self.size = self.generation, generation, form.HEAD.size
         for name in self.disk.names(self.folder):
             kind, _, number = name.partition("-")
@@ -198,14 +198,7 @@
         self.files.append(rows)
         if whole is not None:
             # the snapshot was made with these rows in it, on the loop, where the state is whole
-            files, generation = self.files, self.files.generation + 1
-            fresh = files.name("snapshot", generation).with_name("new-snapshot")
-            files.disk.write(fresh, whole)
-            files.disk.write(files.name("log", generation), form.head(form.LOG))
-            files.disk.replace(fresh, files.name("snapshot", generation))
-            old, files.generation, files.size = files.generation, generation, form.HEAD.size
-            for kind in ("snapshot", "log"):
-                files.disk.remove(files.name(kind, old - 1))
+            self.files.begin(self.files.generation + 1, whole)
 
     def written(self, done, rows: list[Entry], thens: list) -> None:
         err = done.exception()
--- a/curlewhall/wire/client.py
+++ b/curlewhall/wire/client.py
@@ -56,19 +56,18 @@
 class Ask:
     """One exchange under way. `withdraw` ends it at once."""
 
-    __slots__ = ("pool", "data", "done", "tell", "task", "limit", "sent", "asked_at", "settled", "cause",
+    __slots__ = ("pool", "data", "done", "tell", "task", "limit", "sent", "asked_at", "settled",
                  "may")
 
     def __init__(self, pool: "Pool", data: bytes, span: float, done, tell, may) -> None:
         self.pool, self.data, self.done, self.tell, self.may = pool, data, done, tell, may
         self.sent = self.settled = False
-        self.cause, self.asked_at = "", time.monotonic()
+        self.asked_at = time.monotonic()
         self.limit = pool.timers.after(span, self.stop, "late")
         self.task = pool.loop.create_task(pool.run(self))
 
     def stop(self, cause: str) -> None:
         if not self.settled:
-            self.cause = cause
             self.settle(Reply(cause if self.sent else "not_sent", None, time.monotonic() - self.asked_at))
             self.task.cancel()
 
