Descriptors from other processes become connections in one place

Cause: the same lines stood in the hand-over and in the worker. Tests that wait for another process share one way of it.

--- a/curlewhall/daemon/handover.py
+++ b/curlewhall/daemon/handover.py
@@ -9,7 +9,6 @@
 them; the end of the channel before that means that the successor failed, and the old one goes on.
 """
 
-import contextlib
 import os
 import socket
 import time
@@ -435,9 +434,4 @@
         keeper.store.add(entry, then)
 
     def heard_line(self, data: bytes, number: int) -> None:
-        sock = socket.socket(fileno=number)
-        sock.setblocking(False)
-        peer = ("", 0)
-        with contextlib.suppress(OSError):
-            peer = sock.getpeername()
-        self.front.server.adopt(sock, peer, data)
+        self.front.server.adopt_number(number, data)
--- a/curlewhall/daemon/worker.py
+++ b/curlewhall/daemon/worker.py
@@ -113,12 +113,7 @@
         self.daemon.send("line", slot, data, fds=(number,))
 
     def told_line(self, data: bytes, number: int) -> None:
-        sock = socket.socket(fileno=number)
-        sock.setblocking(False)
-        peer = ("", 0)
-        with contextlib.suppress(OSError):
-            peer = sock.getpeername()
-        self.front.server.adopt(sock, peer, data, routed=True)
+        self.front.server.adopt_number(number, data, routed=True)
 
     def fail(self, why: str) -> None:
         self.log.error("can't start", why=why)
--- a/curlewhall/wire/server.py
+++ b/curlewhall/wire/server.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import socket
 import struct
 from collections import deque
@@ -310,6 +311,15 @@
         if self.accepted is not None and not self.accepted(line):
             line.close()
 
+    def adopt_number(self, number: int, first: bytes, routed: bool = False) -> None:
+        """The same of a descriptor that another process has sent."""
+        sock = socket.socket(fileno=number)
+        sock.setblocking(False)
+        peer = ("", 0)
+        with contextlib.suppress(OSError):  # it may have gone on the way
+            peer = sock.getpeername()
+        self.adopt(sock, peer, first, routed)
+
     def handle(self, exchange: Exchange) -> None:
         try:
             self.handler(exchange)
--- a/tests/daemon/test_process.py
+++ b/tests/daemon/test_process.py
@@ -7,10 +7,10 @@
 import socket
 import subprocess
 import sys
-import time
 from pathlib import Path
 
 import pytest
+from loopback import poll
 
 from curlewhall.daemon import control
 from curlewhall.daemon.notify import Notify
@@ -34,14 +34,6 @@
     command("stop", file)
 
 
-def wait(true):
-    """What another process does is waited for; the command's own limits end a vain wait."""
-    until = time.monotonic() + 20
-    while not true():
-        assert time.monotonic() < until
-        os.sched_yield()
-
-
 def ask(home, what):
     return control.ask(Path(home), what)
 
@@ -86,7 +78,7 @@
     # a crash: started anew on its state
     worker, = pids(home)
     os.kill(worker, signal.SIGKILL)
-    wait(lambda: pids(home)[0] not in (0, worker)
+    poll(lambda: pids(home)[0] not in (0, worker)
          and ask(home, "status")["workers"][0]["state"] == "serving")
     assert ask(home, "status")["workers"][0]["crashes"] == 1
 
@@ -103,7 +95,7 @@
     worker, = pids(home)
     daemon = ask(home, "status")["pid"]
     os.kill(daemon, signal.SIGKILL)
-    wait(lambda: not os.path.exists(f"/proc/{worker}"))
+    poll(lambda: not os.path.exists(f"/proc/{worker}"))
     assert command("start", file, "--detach").returncode == 0
 
 
--- a/tests/daemon/test_workers.py
+++ b/tests/daemon/test_workers.py
@@ -3,13 +3,13 @@
 import os
 import re
 import signal
-import time
 import urllib.error
 import urllib.request
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 import pytest
+from loopback import poll
 
 from curlewhall.daemon.control import ask
 from curlewhall.daemon.decide import Supervisor, owner
@@ -26,21 +26,23 @@
         title["places"] = 4
     with Processes(plan):
         home = Path(daemon_folder(plan, 0))
-        while not all(w["state"] == "serving" for w in ask(home, "status")["workers"]):
-            time.sleep(0.02)
+        poll(lambda: all(w["state"] == "serving" for w in ask(home, "status")["workers"]))
         yield plan["fronts"][0], home
 
 
 def play(where, viewer):
     """The worker that answered, told by the play's id."""
     url = f"http://{where['address']}:{where['port']}/play/clip-00?product=plain&top=0&viewer={viewer}"
-    while True:
+
+    def answered():
         try:
             with OPEN(url, timeout=20) as answer:
                 return re.match(r"front-0-w(\d)-", answer.headers["curlewhall-play"])[1]
         except urllib.error.HTTPError as err:
             assert err.code == 503  # a worker that has just started: no list yet, or every node is paced
-            time.sleep(0.02)
+            return None
+
+    return poll(answered)
 
 
 def test_each_viewer_has_its_worker(front):
@@ -55,8 +57,7 @@
     dead = ask(home, "status")["workers"][1]["pid"]
     viewer = f"v{first.index('1')}"
     os.kill(dead, signal.SIGKILL)
-    while not ask(home, "status")["workers"][1]["crashes"]:  # what it had accepted died with it
-        time.sleep(0.01)
+    poll(lambda: ask(home, "status")["workers"][1]["crashes"])  # what it had accepted died with it
     assert play(where, viewer) == "1"  # it waits for its worker
     assert ask(home, "status")["workers"][1]["pid"] != dead
 
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -3,7 +3,9 @@
 import asyncio
 import contextlib
 import functools
+import select
 import socket
+import time
 
 import uvloop
 
@@ -23,6 +25,15 @@
     return run
 
 
+def poll(true, span=20):
+    """Wait until another process has done something; `span` seconds end a vain wait."""
+    until = time.monotonic() + span
+    while not (found := true()):
+        assert time.monotonic() < until, "it did not happen"
+        select.select([], [], [], 0.01)
+    return found
+
+
 class Peer:
     """A client that says raw bytes and reads messages."""
 
