An operator's word to one worker reaches all; imports point down again

Cause: with several workers a drain or a confirmation reached only the one whose connection it came on; and two packages below had begun to import from above. The daemon spreads such words and tells them to a worker that is started anew. Seen in a test with three workers.

--- a/curlewhall/daemon/decide.py
+++ b/curlewhall/daemon/decide.py
@@ -28,17 +28,6 @@
 LOOP, LOOP_WITHIN = 6, 60 * SECOND  # so many crashes within that, and it stays down
 
 
-def takes(seats: int, held: int) -> bool:
-    """Whether a front that holds `held` plays of a title may take one more; 0 seats mean no cap."""
-    return not seats or held < seats
-
-
-def order(play: str, peers: int) -> list[int]:
-    """In which order peers are offered a play: spread by its id, so that no peer is asked for all."""
-    first = crc32(play.encode()) % peers if peers else 0
-    return [(first + i) % peers for i in range(peers)]
-
-
 VIEWER = re.compile(r"[?&]viewer=([^&]*)")
 
 
--- a/curlewhall/daemon/run.py
+++ b/curlewhall/daemon/run.py
@@ -63,6 +63,7 @@
         self.folder, self.lock, self.control, self.page = folder_of(file), None, None, None
         self.waiting: dict[str, list[asyncio.Future]] = {}
         self.said: deque[str] = deque(maxlen=20)
+        self.drained: set[str] = set()  # nodes that an operator drained at one worker of several
         self.held: dict[int, list[tuple[bytes, int]]] = {}  # connections that wait for a worker
         self.over = self.loop.create_future()
         self.began, self.asks = time.time(), 0
@@ -178,10 +179,14 @@
     def heard(self, process: Process, kind: str, facts: list, fds: list[int]) -> None:
         if kind == "line":
             self.line(facts[0], facts[1], fds[0])
+        elif kind == "spread":
+            self.spread(process, facts)
         elif kind == "prepared":
             self.carry(self.supervisor.prepared(now(), process.number))
         elif kind == "ready":
             self.carry(self.supervisor.ready(now(), process.number))
+            for node in self.drained:
+                process.channel.send("drain", node, False)  # it may have been started anew
             for line in self.held.pop(process.slot, ()):
                 self.line(process.slot, *line)
             if all(row["state"] == "serving" for row in self.supervisor.state()):
@@ -192,6 +197,14 @@
         elif kind == "state":
             process.state = facts[1]
 
+    def spread(self, process: Process, facts: list) -> None:
+        """What an operator told one worker, the others are told."""
+        if facts[0] == "drain":
+            (self.drained.discard if facts[2] else self.drained.add)(facts[1])
+        for other in self.processes.values():
+            if other is not process:
+                other.channel.send(*facts)
+
     def line(self, slot: int, data: bytes, number: int) -> None:
         """A connection on its way from one worker to another; it waits for one that is about to start."""
         to = self.supervisor.place(slot)
--- a/curlewhall/daemon/worker.py
+++ b/curlewhall/daemon/worker.py
@@ -94,6 +94,7 @@
             return
         if self.workers > 1:
             self.front.server.route = self.route
+            self.front.follower.spread = lambda *facts: self.daemon.send("spread", *facts)
         if coming is not None:
             coming.serving()
         self.daemon.send("ready")
@@ -112,6 +113,17 @@
         self.loop.call_soon(sock.close)
         self.daemon.send("line", slot, data, fds=(number,))
 
+    def told_drain(self, node: str, back: bool) -> None:
+        """Another worker was told by an operator."""
+        if self.front is not None:
+            self.front.follower.drain(node, back, spread=False)
+
+    def told_confirm(self, digest: str) -> None:
+        if self.front is not None and self.front.follower.watcher is not None:
+            why = self.front.follower.watcher.confirm(digest)
+            if why:
+                self.log.warning("the inventory is not confirmed here", why=why)
+
     def told_line(self, data: bytes, number: int) -> None:
         self.front.server.adopt_number(number, data, routed=True)
 
--- a/curlewhall/front/listing.py
+++ b/curlewhall/front/listing.py
@@ -30,6 +30,7 @@
         self.spoken, self.watcher = False, None  # whether the service has; the operators' files
         self.leaving = False  # the successor follows; what it hears is told to this front
         self.tell: Callable[[forms.Listing], None] | None = None  # a predecessor that hears through this one
+        self.spread: Callable | None = None  # tells the other workers what an operator told this one
         self.drained: set[str] = set()  # by this front's operator, whatever the list says
 
     def start(self) -> None:
@@ -124,8 +125,10 @@
             return forms.msgspec.structs.replace(row, state="draining")
         return row
 
-    def drain(self, node: str, back: bool) -> None:
-        """Drain a node at this front, or call its drain back."""
+    def drain(self, node: str, back: bool, spread: bool = True) -> None:
+        """Drain a node at this front, or call its drain back; the other workers of a daemon are told too."""
+        if spread and self.spread is not None:
+            self.spread("drain", node, back)
         (self.drained.discard if back else self.drained.add)(node)
         if node in self.rows:
             self.take(forms.Listing("changes", self.version, self.version, [self.rows[node]]), "changes")
--- a/curlewhall/front/parting.py
+++ b/curlewhall/front/parting.py
@@ -9,7 +9,6 @@
 import time
 from urllib.parse import urlsplit
 
-from curlewhall.daemon.decide import order, takes
 from curlewhall.dash import tokens
 from curlewhall.wire import forms
 from curlewhall.wire.client import Pool
@@ -18,6 +17,7 @@
 
 from . import problems
 from .driver import Held
+from .sharing import order, takes
 
 AUDIENCE = "curlewhall:offer"  # of an offer's token, where a viewer's has its node
 OUT = 32  # offers under way at once: a peer's loop is busy with viewers as well
--- a/curlewhall/front/serve.py
+++ b/curlewhall/front/serve.py
@@ -12,7 +12,6 @@
 
 from curlewhall.dash.tokens import read_key
 from curlewhall.inventory.run import Files, Watcher
-from curlewhall.members.form import read_keys
 from curlewhall.members.run import Membership
 from curlewhall.moves import Mover
 from curlewhall.moves.run import Moves
@@ -23,6 +22,7 @@
 from curlewhall.recovery.store import Files as StateFiles
 from curlewhall.settings import rate_card
 from curlewhall.settings.front_pb2 import STRICT, FrontFile
+from curlewhall.settings.keys import read_keys
 from curlewhall.wire.client import Pool
 from curlewhall.wire.http import Limits
 from curlewhall.wire.server import Server, listen
--- a/curlewhall/front/viewers.py
+++ b/curlewhall/front/viewers.py
@@ -76,6 +76,8 @@
         elif why := watcher.confirm(given.get("confirm", "")):
             problems.answer(exchange, 409, why)
         else:
+            if self.follower.spread is not None:
+                self.follower.spread("confirm", given.get("confirm", ""))
             exchange.reply(200, {"content-type": "application/json"}, msgspec.json.encode(watcher.state()))
 
     def drain(self, exchange: Exchange, given: dict[str, str]) -> None:
--- a/curlewhall/settings/load.py
+++ b/curlewhall/settings/load.py
@@ -10,9 +10,8 @@
 
 from google.protobuf import text_format
 
-from curlewhall.members.form import read_keys
-
 from . import front_pb2
+from .keys import read_keys
 from .positions import positions
 
 
--- a/tests/daemon/test_workers.py
+++ b/tests/daemon/test_workers.py
@@ -1,5 +1,6 @@
 """Several workers under one daemon: a viewer always meets the same one, also while it is started anew."""
 
+import json
 import os
 import re
 import signal
@@ -54,6 +55,20 @@
     assert ask(home, "restart")["ok"]
     with ThreadPoolExecutor(8) as pool:
         assert list(pool.map(lambda i: play(where, f"v{i}"), range(24))) == first
+    # an operator's word to one worker reaches all, and one that is started anew
+    node, base = "n001", f"http://{where['address']}:{where['port']}"
+
+    def drains():
+        found = set()
+        for _ in range(40):  # any worker answers; forty fresh connections meet all three
+            with OPEN(f"{base}/v1/state", timeout=20) as answer:
+                state = json.loads(answer.read())
+            row, = [row for row in state["nodes"] if row["node"] == node]
+            found.add((state["front"], row["state"]))
+        return found
+
+    OPEN(urllib.request.Request(f"{base}/v1/drain?node={node}", method="POST"), timeout=20).close()
+    poll(lambda: drains() == {(f"front-0-w{i}", "draining") for i in range(3)})
     dead = ask(home, "status")["workers"][1]["pid"]
     viewer = f"v{first.index('1')}"
     os.kill(dead, signal.SIGKILL)
--- a/tests/front/test_parting.py
+++ b/tests/front/test_parting.py
@@ -8,10 +8,10 @@
 from front.town import town, until
 from loopback import looped
 
-from curlewhall.daemon.decide import order, takes
 from curlewhall.dash import manifest, tokens
 from curlewhall.drills.baselines import TwoDrawn
 from curlewhall.front.parting import AUDIENCE
+from curlewhall.front.sharing import order, takes
 from curlewhall.wire import forms
 from curlewhall.wire.client import Pool
 from curlewhall.wire.http import request_bytes
--- a/tests/members/test_members.py
+++ b/tests/members/test_members.py
@@ -29,10 +29,10 @@
     Window,
     decode,
     encode,
-    read_keys,
     sign,
 )
 from curlewhall.members.run import Membership
+from curlewhall.settings.keys import read_keys
 
 # the measurement's world of fronts and lossy links; by its path, since `bench` is no package
 _found = importlib.util.spec_from_file_location(
