A log line is one write: the processes of a daemon share one file

Cause: a line and its end went out as two writes, and lines of daemon and worker ran into each other (seen once in a clean checkout's test run). Four processes with 16,000 lines into one file: none torn.

--- a/curlewhall/cli/logs.py
+++ b/curlewhall/cli/logs.py
@@ -15,7 +15,8 @@
     last = [structlog.dev.ConsoleRenderer(colors=stream.isatty())] if text else \
         [structlog.processors.dict_tracebacks, structlog.processors.JSONRenderer()]
     return structlog.wrap_logger(
-        structlog.PrintLogger(stream),
+        # one write for a line and its end: the processes of a daemon share one file
+        structlog.WriteLogger(stream),
         processors=[structlog.processors.add_log_level,
                     structlog.processors.TimeStamper(fmt="iso", utc=True), *last],
         wrapper_class=structlog.make_filtering_bound_logger(getattr(logging, level.upper())),
