A hand-over tells the module of plays by the driver's own found_at

Cause: on a last read the hand-over said again what Driver.found_at says, and two fields were written and never read. Behaviour as it was: tests of daemon, membership and parting pass (82).

--- a/curlewhall/daemon/handover.py
+++ b/curlewhall/daemon/handover.py
@@ -325,9 +325,9 @@
         for ply in self.flights:
             title = front.viewers.titles.get(ply.facts.title)
             if title is not None:
-                driver.elsewhere[ply.facts.play] = Held(ply.facts, title, None, ply.limit, ply.taken)
-                driver.elsewhere[ply.facts.play].target = ply.node
-                self.module_resumed(ply, title)  # it takes a seat, wherever it is being set up
+                held = driver.elsewhere[ply.facts.play] = Held(ply.facts, title, None, ply.limit, ply.taken)
+                held.target = ply.node
+                driver.found_at(held, ply.node)  # it takes a seat, wherever it is being set up
         for ply in self.moving:
             self.expect(ply)
         for old, play in self.kept:
@@ -356,16 +356,11 @@
         driver.plays[ply.facts.play] = held
         if ply.found:
             front.viewers.resumed(held)
-        self.module_resumed(ply, title)
+        driver.found_at(held, ply.node)
         driver.hear("note", ply.facts.play, 0, ply.node, "rung", float(ply.facts.rung))
         driver.moves.playing(held)
         return held
 
-    def module_resumed(self, ply: Carried, title: forms.Title) -> None:
-        facts = ply.facts
-        self.front.driver.hear("resumed", facts.play, facts.product, facts.customer, facts.viewer,
-                               facts.title, title.first_place, title.places, facts.top, None, ply.node)
-
     def expect(self, ply: Carried) -> None:
         """A move under way at the old front: its viewer may come here for the answer."""
         driver, viewers = self.front.driver, self.front.viewers
--- a/curlewhall/daemon/run.py
+++ b/curlewhall/daemon/run.py
@@ -44,7 +44,7 @@
         self.number, self.slot, self.popen = number, slot, popen
         self.channel = None
         self.pidfd = os.pidfd_open(popen.pid)
-        self.pinged = self.ponged = now()
+        self.ponged = now()
         self.state: dict = {}
 
 
--- a/curlewhall/members/decide.py
+++ b/curlewhall/members/decide.py
@@ -56,7 +56,6 @@
         self.asked: dict[int, tuple[int, int]] = {}  # target -> since when it owes an answer, when suspected
         self.news: dict[int, int] = {}  # index -> how often its row was sent along
         self.next = now + self.chance(PERIOD)
-        self.began = now
 
     # ---- what happens
 
