What is gone is let go: further allocations, customers' times, nodes of old lists

At fault: `sending` appended to `further` always, `rationed` trimmed it only where a budget is stated; a customer's times were trimmed in `over_share` alone, which a play declined earlier never reaches; `listed` kept each node ever named. Ruled out: wakes (each is rung once), stages (by name), racks (bounded by the shelves), running totals (dropped by halves). Mend: both lists are running totals as `Changes` already keeps them; a node gone for 10 minutes without plays is forgotten, and is new, and paced, should it come back.

--- a/curlewhall/policy.py
+++ b/curlewhall/policy.py
@@ -88,14 +88,15 @@
         terms = {"floor": "floor_by_class", "scale": "class_scale", "seats": "seats", "top": "highest_rung"}
         self.products = {p["name"]: p | {t: rate_card[f"specifics.{name}"][i] for t, name in terms.items()}
                          for i, p in enumerate(rate_card["products"])}
-        self.customers = {c["name"]: (c["allowance_per_s"], deque()) for c in rate_card["customers"]}
+        self.customers = {c["name"]: (c["allowance_per_s"], Changes(5 * SECOND))
+                          for c in rate_card["customers"]}
         self.least = min(p["importance"] for p in self.products.values())
         self.ladder, self.fronts = rate_card["specifics.rung_kb"], max(1, rate_card["fronts"])
         self.middle, worth = (len(self.ladder) - 1) // 2, rate_card["specifics.level_worth"]
         self.best = max(range(len(worth)), key=lambda r: worth[r] / self.ladder[r])  # worth most for its rate
         self.plays, self.nodes, self.racks, self.cells = {}, {}, {}, {}
         kept = max(rate_card["rules.fall"], rate_card.get("rules.look_back", 0))
-        self.takes, self.further = Changes(kept), deque()  # for the budget of further allocations
+        self.takes, self.further = Changes(kept), Changes(kept)  # for the budget of further allocations
         self.wakes, self.labels, self.average, self.turn, self.stages = {}, 0, (NEVER, 0), 0, {}
         self.out = [("wake", self.chance(2 * SECOND), 0)] if rate_card["report.how"] == "on_probe" else []
         self.changes, self.links, self.part = Changes(10 * SECOND), 1, (NEVER, 1)
@@ -108,13 +109,21 @@
 
     def listed(self, now, how, rows):
         changed, named, self.turn = False, {row.node for row in rows}, self.turn + 1
+        for node in list(self.nodes.values()):
+            if node.row.state != "gone":
+                node.listed = now
+            elif now - node.listed > 600 * SECOND and not node.plays and not node.waiting:
+                # Danger: machines are replaced under new ids for as long as a front runs. 10 minutes: some
+                # twenty times the longest restart seen; one that comes later is new, and paced as such.
+                del self.nodes[node.id]
+                changed = True
         for row in rows:
             node = self.nodes.get(row.node)
             if node is None:
                 # Danger: an old list names nodes that have started since; all that a young front finds, and
                 # all that is new to it, is paced as if it had started just now.
                 node = self.nodes[row.node] = Node(row)
-                node.cold_from, changed = now, True
+                node.cold_from, node.listed, changed = now, now, True
             elif row.started > node.row.started:
                 node.cold_from, node.heard_at, node.broken = max(now, row.started), NEVER, False
             changed = changed or node.row._replace(state=row.state, started=row.started) != row
@@ -146,7 +155,7 @@
               length, moved, again):
         self.takes.add(now, 1)
         if customer in self.customers and not again:
-            self.customers[customer][1].append(now)
+            self.customers[customer][1].add(now, 1)
         ply = self.take(now, play, product, customer, viewer, title, limit, first_place, places, top_rung)
         self.run(now, ply)
         return self.said()
@@ -264,12 +273,10 @@
             return self.decline(ply)
         if tried and share is not None:
             since = now - self.card["rules.look_back"]
-            while self.further and self.further[0] <= since:
-                self.further.popleft()
             # Danger: the bench's window and this one may differ by a tick at either end, so the oldest
             # second of the takes is left out and one allocation is kept back.
             takes = self.takes.since(since + SECOND)
-            if len(self.further) + 1 > self.card.get("rules.spare_allocations", 0) + share * takes:
+            if self.further.since(since) + 1 > self.card.get("rules.spare_allocations", 0) + share * takes:
                 return self.decline(ply)
         return PASS
 
@@ -342,11 +349,10 @@
         """Whether the play's customer asks for more than its share and this viewer is beyond it."""
         # Danger: a customer's crowd, worth little beyond its share, stalls every play. Viewers beyond it are
         # told by their ids, so that all fronts turn the same ones away however often they come again.
-        allowance, times = self.customers.get(ply.customer, (0, ()))
-        while times and times[0] <= now - 5 * SECOND:  # about as long as a crowd takes to build up
-            times.popleft()
+        allowance, asked = self.customers.get(ply.customer, (0, None))
+        count = asked.since(now - 5 * SECOND) if asked else 0  # about as long as a crowd takes to build up
         # Twice the share, told in whole plays a second, is surely a crowd; one deviation off: few are seen.
-        allowance, seen = 2 * allowance + 1, (len(times) - len(times) ** 0.5) / 5 / self.own_part(now)
+        allowance, seen = 2 * allowance + 1, (count - count ** 0.5) / 5 / self.own_part(now)
         return seen > allowance and crc32(ply.viewer.encode()) % 1000 >= 1000 * allowance / seen
 
     def fitting(self, now, ply):
@@ -401,7 +407,7 @@
     def sending(self, now, ply):
         node = ply.nodes[0]
         if ply.allocations:
-            self.further.append(now)
+            self.further.add(now, 1)
         ply.pair, node.plays[ply.id] = [], ply
         ply.allocations.append(Allocation(node, now))
         node.starts.append(now)
