Weights and uplinks of 0, no kinds, reports under 0: no call of the module fails

Seen: a row of weight 0 raised ZeroDivisionError in `load` for plays of all nodes as long as the row stood; a card without kinds raised ValueError in `arrange`; a report of -1 from one node raised ZeroDivisionError in `reckon`, by way of `own_part`. At fault: `arrange` (a link or share of 0 that `load` divides by; `min` of nothing), `hear` (takes any figure). Ruled out by the same tests: infinite and undefined reports, unknown kinds, places and starts out of range, an empty list, one stream with 1, 3 and 60 fronts, warm, above the fraction, restarted or broken: never shut for good. Mend: a link or share is 1 kB a second at least, a report 0 at least. `Rack.nodes`, which nothing read, is gone.

--- a/curlewhall/policy.py
+++ b/curlewhall/policy.py
@@ -76,7 +76,7 @@
     """The nodes that share an uplink."""
 
     def __init__(self):
-        self.nodes, self.link, self.changes = [], 1, Changes(10 * SECOND)
+        self.link, self.changes = 1, Changes(10 * SECOND)
         self.heard, self.heard_at, self.short_at = 0, NEVER, NEVER
 
 
@@ -140,15 +140,16 @@
         self.cells, racks = {}, {}
         streams = dict(zip(self.card["kinds"], self.card["specifics.kind_streams"], strict=False))
         for node in self.nodes.values():
-            node.link = node.row.weight * self.card["specifics.link_unit_kb"]
-            node.streams = streams.get(node.row.kind, min(streams.values()))
+            # Danger: a list's weight of 0. A link of 1 kB a second holds no play, and can be divided by.
+            node.link = max(1, node.row.weight * self.card["specifics.link_unit_kb"])
+            node.streams = streams.get(node.row.kind, min(streams.values(), default=1))
             node.rack = self.racks.setdefault(node.row.place % max(1, self.card["specifics.shelves"]), Rack())
             self.cells.setdefault(node.row.place % max(1, self.card["specifics.places"]), []).append(node)
             racks.setdefault(node.rack, []).append(node)
         for rack, nodes in racks.items():
-            rack.nodes, rack.link = nodes, sum(n.link for n in nodes) or 1
+            rack.link = sum(n.link for n in nodes)
             for node in nodes:
-                node.share = self.card["specifics.uplink_kb"] * node.link / rack.link
+                node.share = max(1, self.card["specifics.uplink_kb"] * node.link / rack.link)
         self.links = sum(rack.link for rack in racks) or 1
 
     def asked(self, now, play, product, customer, viewer, title, limit, first_place, places, top_rung,
@@ -459,9 +460,10 @@
         self.turn += 1
         when = when or now - SECOND // 2  # reports are refreshed and delayed by fractions of a second
         if "link_asked" in report or "link_share" in report:
-            node.heard, node.heard_at = report.get("link_asked", report.get("link_share")), when
+            # Danger: a report under 0, from a node that counts wrongly, would turn this front's part around.
+            node.heard, node.heard_at = max(0, report.get("link_asked", report.get("link_share"))), when
         if "uplink_asked" in report:
-            node.rack.heard, node.rack.heard_at = report["uplink_asked"], when
+            node.rack.heard, node.rack.heard_at = max(0, report["uplink_asked"]), when
         if report:
             self.lift(now, node)
 
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -5,6 +5,8 @@
 import pytest
 from conftest import SECOND, Bench, card, sent, verbs
 
+from curlewhall.interface import NodeRow
+from curlewhall.policy import Front
 
 DAY = 86_400 * SECOND
 
@@ -41,3 +43,72 @@
         sizes.append(len(pickle.dumps(bench.front)))
     # running totals grow to some hundred changes and are then dropped by halves
     assert max(sizes[4:]) < 1.3 * max(sizes[:4]), sizes
+
+
+@pytest.mark.parametrize("changes", [
+    {"weight": 0}, {"weight": -1}, {"kind": "unheard of"}, {"place": -3}, {"started": 1 << 40}])
+def test_odd_rows_cost_no_play_of_the_others(make, changes):
+    bench = make()
+    front = bench.front
+    front.listed(bench.now, "changes", [NodeRow("n9", 0, "z", "box", "serving", 1, 0)._replace(**changes)])
+    for _ in range(12):
+        bench.wait(1)
+        for node in ("n0", "n9"):
+            front.probed(bench.now, node, "ok", 10, {"link_asked": 0.2, "uplink_asked": 0.2})
+        assert verbs(bench.ask("dear", first=1, places=2, top=0)[1])[-1] == "allocate"
+        play, said = bench.ask("dear", top=0)
+        assert verbs(said)[-1] == "allocate"
+        front.first_frame(bench.now, play, 0, sent(said)[0][2], 10)
+        front.note(bench.now, play, 0, "n9", "delivered", 0.9)
+
+
+@pytest.mark.parametrize("value", [-1.0, -1e300, float("inf"), float("nan"), 1e300])
+def test_odd_reports_of_one_node_cost_no_play_of_the_others(make, value):
+    bench = make()
+    for _ in range(8):
+        bench.wait(1)
+        for node in ("n1", "n2", "n3"):
+            bench.front.probed(bench.now, node, "ok", 10, {"link_asked": 0.2, "uplink_asked": 0.2})
+        bench.front.probed(bench.now, "n0", "ok", 10, {"link_asked": value, "uplink_asked": 0.2})
+        assert verbs(bench.ask("dear", first=1, places=1, top=0)[1])[-1] == "allocate"
+        assert 0 < bench.front.own_part(bench.now) <= 1
+
+
+@pytest.mark.parametrize("changes", [{"kinds": [], "specifics.kind_streams": []},
+                                     {"specifics.uplink_kb": 0.0}, {"specifics.link_unit_kb": 0.0}])
+def test_a_fleet_without_kinds_or_rate_declines_and_never_fails(make, changes):
+    bench = make(**changes)
+    bench.front.probed(bench.now, "n0", "ok", 10, {"link_asked": 0.2, "uplink_asked": 0.2})
+    assert verbs(bench.ask("dear")[1])[-1] in ("allocate", "decline")
+
+
+def test_without_nodes_and_after_all_are_gone_each_play_is_declined_once(bench):
+    front = Front(0, 1, card())
+    said = front.asked(0, "p", "cheap", "", "v", "t", SECOND, 0, 4, 3, None, False, False)
+    assert said == [("decline", "p", SECOND)] and not front.plays
+    bench.list("whole")
+    assert verbs(bench.ask()[1]) == ["decline"]
+    assert not bench.front.has_room(bench.now, "x", "cheap", "", "v", "t", 0, 4, 3)
+
+
+@pytest.mark.parametrize("fronts", [1, 3, 60])
+@pytest.mark.parametrize("product", ["dear", "cheap"])
+@pytest.mark.parametrize("sign", ["warm", "loaded", "restart", "broken"])
+def test_a_node_with_one_stream_is_never_shut_for_good(make, fronts, product, sign):
+    bench = make(fronts=fronts, **{"specifics.kind_streams": [1]})
+    if sign == "restart":
+        bench.list("changes", ("n0", {"started": bench.now}))
+    if sign == "broken":
+        bench.end(bench.ask("dear", places=1)[0], "broken", "n0", 0, True)
+    taken = 0
+    for _ in range(900 if sign == "broken" else 60):
+        bench.wait(3)
+        if sign == "loaded":  # above the fraction: the slice binds
+            bench.front.probed(bench.now, "n0", "ok", 10, {"link_asked": 0.6, "uplink_asked": 0.1})
+        play, said = bench.ask(product, places=1, top=0)
+        if sent(said):
+            taken += 1
+            assert verbs(bench.ask(product, places=1, top=0)[1])[-1] == "decline"  # its stream is taken
+            bench.front.first_frame(bench.now, play, 0, "n0", 10)
+            bench.end(play, "ok", "n0", final=True)
+    assert taken
