A note that tells of the moment 0 is taken for what it says

Seen: the same story told to fronts born at 0 and at 100 s got other answers (a rung at the middle, not above) 5.2 s after a note that arrived when the clock stood at its lateness. At fault: `hear`, `when or ...`: a moment of 0 was taken for "not given".

--- a/curlewhall/policy.py
+++ b/curlewhall/policy.py
@@ -458,7 +458,8 @@
 
     def hear(self, now, node, report, when=None):
         self.turn += 1
-        when = when or now - SECOND // 2  # reports are refreshed and delayed by fractions of a second
+        # reports are refreshed and delayed by fractions of a second
+        when = now - SECOND // 2 if when is None else when
         if "link_asked" in report or "link_share" in report:
             # Danger: a report under 0, from a node that counts wrongly, would turn this front's part around.
             node.heard, node.heard_at = max(0, report.get("link_asked", report.get("link_share"))), when
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -112,3 +112,34 @@
             bench.front.first_frame(bench.now, play, 0, "n0", 10)
             bench.end(play, "ok", "n0", final=True)
     assert taken
+
+
+@pytest.mark.parametrize("born", [0, 1, 7 * SECOND, 400 * DAY, 1 << 53])
+@pytest.mark.parametrize("how", ["inline", "on_probe"])
+def test_the_same_is_answered_whenever_a_front_is_born(born, how):
+    """Danger: a moment of 0 taken for "not given"; windows that reach back before the clock began."""
+    def story(at):
+        bench = Bench.__new__(Bench)
+        bench.now, bench.count = at, 0
+        bench.front = Front(at, 7, card(**{"report.how": how}, customers=[{"name": "c",
+                                                                           "allowance_per_s": 1.0}]))
+        said = [bench.list("whole", *[(f"n{i}", {}) for i in range(4)])]
+        for step in (0, 0.3, 0.7, 4.2, 2, 9, 12, 86_400 * 9, 0, 1):
+            bench.wait(step)
+            play, answers = bench.ask("dear", customer="c", first=1, places=1)
+            said.append(answers)
+            said.append(bench.front.note(bench.now, play, 0, "n1", "link_asked", 0.7))
+            said.append(bench.front.note(bench.now, play, 0, "n1", "uplink_asked", 0.3))
+            if sent(answers):
+                said.append(bench.front.first_frame(bench.now, play, 0, sent(answers)[0][2], 10))
+                said.append(bench.front.note(bench.now, play, 0, sent(answers)[0][2], "delivered", 0.9))
+            said.append(bench.front.wake(bench.now, 0))
+        return said
+    assert story(born) == story(100 * SECOND)
+
+
+def test_after_days_of_silence_the_first_play_is_placed(bench):
+    bench.play("dear")
+    for days in (1, 400):
+        bench.wait(days * 86_400)
+        assert verbs(bench.ask("dear")[1])[-1] == "allocate"
