A look for room that fails half way leaves the front as it was

Seen: with a stage that raises, `has_room` left a play without a name behind, the old play without its title (its seat no longer counted) and the draws ahead. At fault: `has_room` put its changes back after the stages, not in any case. Ruled out: what the stages keep besides (averages, running totals) is reckoned anew in any case.

--- a/curlewhall/policy.py
+++ b/curlewhall/policy.py
@@ -244,12 +244,13 @@
         limit = now + SECOND
         ply = self.take(now, "", product, customer, viewer, title, limit, first_place, places, top_rung)
         chain = (self.holding, self.streaming, self.warming, self.capping, self.fitting)
-        found = all(ahead(now, ply) is PASS for ahead in chain)
-        if old:
-            old.title = title
-        self.plays.pop("", None)
-        self.draws, self.out = draws, []
-        return found
+        try:
+            return all(ahead(now, ply) is PASS for ahead in chain)
+        finally:  # also where a stage fails
+            if old:
+                old.title = title
+            self.plays.pop("", None)
+            self.draws, self.out = draws, []
 
     # ---- the chain
 
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -143,3 +143,15 @@
     for days in (1, 400):
         bench.wait(days * 86_400)
         assert verbs(bench.ask("dear")[1])[-1] == "allocate"
+
+
+def test_a_look_for_room_that_fails_half_way_leaves_nothing_behind(make, monkeypatch):
+    bench = make(**{"specifics.seats": [1, 0, 0]})
+    play, _ = bench.play("dear")
+    draws = bench.front.draws
+    with monkeypatch.context() as patched:
+        patched.setattr(bench.front, "warming", lambda now, ply: 1 // 0)
+        with pytest.raises(ZeroDivisionError):
+            bench.front.has_room(bench.now, play, "dear", "", "v", "t", 0, 4, 3)
+    assert set(bench.front.plays) == {play} and bench.front.draws == draws
+    assert verbs(bench.ask("dear")[1]) == ["decline"]  # its seat still counts
