Incarnations and sequence numbers wrap: a number near the top silences nobody

Seen: told by a holder of the key that its incarnation was 2**32-1, a member made its own 2**32; from then on each datagram raised struct.error, the first wake ended without a next one, and the front was silent and held dead for good. After the last sequence number (2**32, 68 years at two a second) the same. At fault: members/decide.py learn, wake, leave (incarnation + 1), members/run.py say (sequence + 1), members/form.py encode. Ruled out: loads beyond 65,535 (cut when sent; the part of the load is then rough), the receiver's window (its numbers are Python's; a new life has a new one), nonces (32 bits of a checksum). Mend: incarnations are serial numbers that wrap (RFC 1982); of two that are half the circle apart an owner's always goes on. A life whose sequence is used up goes on as another, which its peers challenge as they do any.

--- a/curlewhall/members/decide.py
+++ b/curlewhall/members/decide.py
@@ -18,7 +18,22 @@
 
 from zlib import crc32
 
-from .form import ACK, ALIVE, ASK, DEAD, LEAVE, LEFT, MOST_ROWS, NOBODY, PING, SUSPECT, SYNC, Row
+from .form import (
+    ACK,
+    ALIVE,
+    ASK,
+    DEAD,
+    LEAVE,
+    LEFT,
+    MOST_ROWS,
+    NOBODY,
+    PING,
+    SUSPECT,
+    SYNC,
+    Row,
+    following,
+    newer,
+)
 
 SECOND = 10_000
 PERIOD = SECOND  # two datagrams a second and front when all is well; a death is found within a few periods
@@ -74,7 +89,7 @@
             for member in self.members.values():
                 if member.state == SUSPECT:
                     member.until = now + self.patience()
-            self.incarnation += 1
+            self.incarnation = following(self.incarnation)
             self.tell(self.me)
             out.append(("say", "stood still; asking who is there before anything is believed"))
             out += [self.ping(now, index) for index in self.shuffled(self.living())[:HELPERS]]
@@ -120,15 +135,15 @@
                 self.asked.pop(target, None)  # a helper has reached it
         elif kind == SYNC:
             known = {row.index for row in rows}
-            newer = [self.row(row.index) for row in rows if row.index in self.members
-                     and self.members[row.index].incarnation > row.incarnation]
-            if newer and known:
-                out.append(("send", sender, ACK, 0, NOBODY, tuple(newer[:MOST_ROWS])))
+            fresh = [self.row(row.index) for row in rows if row.index in self.members
+                     and newer(self.members[row.index].incarnation, row.incarnation)]
+            if fresh and known:
+                out.append(("send", sender, ACK, 0, NOBODY, tuple(fresh[:MOST_ROWS])))
         return out
 
     def leave(self, now: int):
         """This front is about to end: tell a few, who tell the rest."""
-        self.incarnation += 1
+        self.incarnation = following(self.incarnation)
         row = (Row(self.me, LEFT, self.incarnation),)
         return [("send", index, LEAVE, 0, NOBODY, row) for index in self.shuffled(self.living())[:8]]
 
@@ -181,32 +196,33 @@
     def learn(self, now: int, row: Row, direct: bool = False):
         """Merge what is said of a member; a higher incarnation counts, then the graver state."""
         if row.index == self.me:
-            worse = row.state != ALIVE and row.incarnation == self.incarnation
-            if worse or row.incarnation > self.incarnation:
+            same = row.incarnation == self.incarnation
+            # of two numbers half the circle apart neither is newer: this front's has to be
+            if row.state != ALIVE if same else not newer(self.incarnation, row.incarnation):
                 # Danger: others hold this front dead, or know a life of it before this one, and share the
                 # fleet without it. It says that it lives.
-                self.incarnation = row.incarnation + 1
+                self.incarnation = following(row.incarnation)
                 self.tell(self.me)
             return []
         member = self.members.get(row.index)
         if member is None:
             return []
-        newer = row.incarnation > member.incarnation
+        fresh = newer(row.incarnation, member.incarnation)
         same = row.incarnation == member.incarnation
-        if newer or same and row.state > member.state:
-            if row.state == DEAD and not newer and member.state == ALIVE and member.heard > now - PERIOD:
+        if fresh or same and row.state > member.state:
+            if row.state == DEAD and not fresh and member.state == ALIVE and member.heard > now - PERIOD:
                 return []  # heard of it this moment: it will say so itself
             return self.become(now, row.index, row.state, row.incarnation)
         if direct and same and member.state == SUSPECT:
             self.tell(row.index)  # it speaks, and has to hear that it is suspected
-        if direct and not newer and (not same or member.state in (DEAD, LEFT)):
+        if direct and not fresh and (not same or member.state in (DEAD, LEFT)):
             # it speaks, and does not know what is held of it: a partition healed, or it started anew
             return [("send", row.index, SYNC, 0, NOBODY, (self.row(row.index),))]
         return []
 
     def become(self, now: int, index: int, state: int, incarnation: int):
         member = self.members[index]
-        was, member.state, member.incarnation = member.state, state, max(member.incarnation, incarnation)
+        was, member.state, member.incarnation = member.state, state, incarnation
         self.tell(index)
         if state == SUSPECT:
             member.until = now + self.patience()
--- a/curlewhall/members/form.py
+++ b/curlewhall/members/form.py
@@ -48,6 +48,22 @@
     """Not a message of ours."""
 
 
+SERIALS = 1 << 32  # of incarnations and sequence numbers
+
+
+def newer(one: int, other: int) -> bool:
+    """Whether incarnation `one` came after `other`; all came after 0, which nobody has.
+
+    Danger: the last number has none above it. Numbers wrap (RFC 1982 section 3.2), so none is the last.
+    """
+    return one != other and (not other or (one - other) % SERIALS < SERIALS // 2)
+
+
+def following(incarnation: int) -> int:
+    """The next one; 0 is left out."""
+    return incarnation % (SERIALS - 1) + 1
+
+
 def encode(message: Message, key: bytes) -> bytes:
     head = HEAD.pack(MAGIC, VERSION << 4 | message.kind, message.sender, message.life, message.sequence,
                      message.nonce, message.incarnation, message.load, message.target, len(message.rows))
--- a/curlewhall/members/run.py
+++ b/curlewhall/members/run.py
@@ -3,7 +3,7 @@
 import os
 
 from .decide import Members
-from .form import ACK, NOBODY, PING, Message, Refused, Window, decode, encode
+from .form import ACK, NOBODY, PING, SERIALS, Message, Refused, Window, decode, encode
 
 SECOND = 10_000
 CHALLENGES = SECOND  # between two challenges of one unknown life
@@ -97,6 +97,8 @@
 
     def say(self, index: int, kind: int, nonce: int, target: int, rows: tuple) -> None:
         self.sequence += 1
+        if self.sequence == SERIALS:  # this life's numbers are used up: it goes on as another
+            self.life, self.sequence = (self.life + 1) % SERIALS, 0
         members = self.members
         self.put(index, encode(Message(kind, self.me, self.life, self.sequence, nonce, members.incarnation,
                                        min(self.held(), 65535), target, rows), self.keys[0]))
--- a/tests/members/test_members.py
+++ b/tests/members/test_members.py
@@ -23,6 +23,7 @@
     NOBODY,
     PING,
     SUSPECT,
+    SYNC,
     Message,
     Refused,
     Row,
@@ -202,6 +203,56 @@
 TestAnyNews = AnyNews.TestCase
 
 
+TOP = 2**32 - 1
+
+
+@pytest.mark.parametrize("top", [TOP, TOP - 1, 2**31, 2**31 - 1, 7])
+@pytest.mark.parametrize("state", [ALIVE, DEAD])
+def test_a_forged_incarnation_near_the_top_silences_nobody(top, state):
+    """Danger: a holder of the key, or a flipped bit of ours, says a number after which there is none."""
+    net = Net(3)
+    for end in net.ends:
+        end.start()
+    net.pump()
+    for _ in range(3):  # each time the next after what the member has made of it
+        for to in (0, 1):
+            net.ends[to].members.heard(100 * S, 2, ACK, 1, 1, 0, NOBODY, (Row(0, state, top),
+                                                                          Row(1, state, top)))
+            top = min(TOP, top + 1)
+        for end in net.ends:
+            end.carry(end.members.wake(100 * S))
+        for _ in range(3):
+            for end in net.ends:
+                for to in {0, 1, 2} - {end.me}:
+                    end.say(to, SYNC, 9, NOBODY, end.members.along())
+            net.pump()
+    assert [end.members.count() for end in net.ends] == [3, 3, 3]
+    told = [encode(Message(PING, 0, 1, 1, 1, end.members.incarnation, 0, NOBODY, end.members.along()), KEY)
+            for end in net.ends]
+    assert all(told)
+
+
+def test_an_incarnation_after_the_last_is_newer_than_it():
+    end = Net(2).ends[0].members
+    end.members[1].incarnation, end.members[1].state = TOP, DEAD
+    assert end.heard(100 * S, 1, PING, 5, 1, 0, NOBODY, ())[0] == ("changed", 1, ALIVE)
+    assert end.heard(100 * S, 1, PING, 5, TOP, 0, NOBODY, (Row(1, DEAD, TOP),))[0][0] == "send"
+    assert end.members[1].state == ALIVE and end.members[1].incarnation == 1
+
+
+def test_a_life_whose_sequence_is_at_its_end_goes_on_as_another_life():
+    net = Net()
+    net.ends[0].start()
+    net.pump()
+    one, other = net.ends
+    old, one.sequence = one.life, TOP - 1
+    for nonce in range(1, 6):
+        one.say(1, PING, nonce, NOBODY, ())
+    net.pump()
+    assert one.life != old and other.lives[0].life == one.life and other.clashes == 0
+    assert one.sequence < 100 and other.lives[0].window.top == one.sequence
+
+
 # ---- lives, replays and clashes
 
 
