A hello ends no play it can't know of; an answer that fails costs no other answer

Three findings where driver and nodes' side meet. 1. Seen: a node's hello, said before a set-up reached it and read after that set-up's first frame (they come by two connections), ended the fresh play as broken: the front no longer counted its stream, and the next hello had the node end it under its viewer's eyes. At fault: nodes.py hello, which judged every play by it. Mend: plays whose first frame was read after the stream was asked for are left to the next hello, which is asked for at once. 2. Seen: with a paid set-up out to a node, that node's hello made the state on disk forget it (an Over entry); killed then, the front would not have doubted it. At fault: nodes.py hello to keeper.spoke: a hello names plays that play. Mend: what is out is left alone. 3. Seen: an answer whose carrying out raises (a datagram, say) lost the rest of its list, and calls that waited stayed until something else happened. At fault: driver.py hear_of. Mend: it is logged and counted as a fault; the others are carried out.

--- a/curlewhall/daemon/handover.py
+++ b/curlewhall/daemon/handover.py
@@ -352,7 +352,7 @@
             return None
         held = Held(ply.facts, title, None, ply.limit, ply.taken)
         held.answered, held.number, held.playing, held.offset = True, 0, 0, ply.facts.number
-        held.node, held.rung = ply.node, ply.facts.rung
+        held.node, held.rung, held.began = ply.node, ply.facts.rung, driver.clock.now()
         driver.plays[ply.facts.play] = held
         if ply.found:
             front.viewers.resumed(held)
--- a/curlewhall/front/driver.py
+++ b/curlewhall/front/driver.py
@@ -34,7 +34,8 @@
     """A play: its request, its allocations by number, and what is in force."""
 
     __slots__ = ("facts", "title", "exchange", "limit", "rung", "number", "offset", "node", "out", "playing",
-                 "answered", "closed", "stash", "guard", "taken", "moved_from", "kept", "target")
+                 "answered", "closed", "stash", "guard", "taken", "moved_from", "kept", "target",
+                 "began")
 
     def __init__(self, facts: Facts, title: Title, exchange: Exchange | None, limit: int, taken: int) -> None:
         self.facts, self.title, self.exchange, self.limit, self.taken = facts, title, exchange, limit, taken
@@ -47,6 +48,7 @@
         self.moved_from = ""  # the play that this one goes on with, on another node
         self.target = ""  # the node of its latest allocation
         self.kept: tuple | None = None  # an answer whose viewer has yet to come for it
+        self.began = 0  # when this front heard that it plays
 
 
 class Waiting:
@@ -117,7 +119,12 @@
                     self.log.exception("the module failed", call=name)
                     continue
                 for answer in answers:
-                    self.verbs[answer[0]](*answer[1:])
+                    try:
+                        self.verbs[answer[0]](*answer[1:])
+                    except Exception:
+                        # Danger: a play's answer lost since another's could not be carried out before it.
+                        self.counts["faults"] += 1
+                        self.log.exception("an answer can't be carried out", verb=answer[0])
         finally:
             self.busy = False
 
@@ -153,7 +160,7 @@
         """A play that the module was told of by `found_at` is this front's."""
         facts = held.facts
         held.answered, held.number, held.playing, held.offset, held.node = True, 0, 0, facts.number, node
-        held.rung = facts.rung
+        held.rung, held.began = facts.rung, self.clock.now()
         self.plays[facts.play] = held
         self.counts["resumed"] += 1
         self.viewers.resumed(held)
@@ -173,7 +180,7 @@
             self.hear("ended", held.facts.play, number, node, how, held.answered, span, report)
             self.drop(held)
             return
-        held.playing, held.node = number, node
+        held.playing, held.node, held.began = number, node, self.clock.now()
         self.keeper.playing(held.facts.play, number + held.offset)
         self.log.info("first frame", play=held.facts.play, allocation=number, node=node, rung=held.rung,
                       took_ms=span / 10)
--- a/curlewhall/front/nodes.py
+++ b/curlewhall/front/nodes.py
@@ -28,6 +28,7 @@
         self.stream: Ask | None = None
         self.lines = forms.Lines()
         self.tries, self.greeted, self.pause = 0, False, None
+        self.asked = 0  # when its stream was asked for
         self.since = 0  # when it was first known, or last lost from sight: the module's time
         self.handed = False  # known from the predecessor, and not heard of by this process yet
 
@@ -163,7 +164,7 @@
         if node.row.state == "gone":
             self.lost(node.row.node)  # no stream, and the list says why
         else:
-            node.lines = forms.Lines()
+            node.lines, node.asked = forms.Lines(), self.driver.clock.now()
             data = request_bytes("GET", f"/v1/events?front={self.front}", node.pool.host)
             node.stream = node.pool.ask(data, FOREVER, lambda reply: self.stream_ended(node, reply),
                                         tell=lambda message, piece: self.told(node, message, piece))
@@ -224,12 +225,20 @@
             return
         there = {facts.play: facts for facts in event.plays}
         elsewhere = self.driver.elsewhere
-        self.driver.keeper.spoke(name, there.keys() | elsewhere.keys())
+        gone = [(play, held) for play, held in self.driver.plays.items() if held.node == name
+                and held.playing is not None and play not in there]
+        # Danger: set-ups come by other connections. A hello says nothing of those that are out, nor of plays
+        # whose first frame was read after the hello was asked for: the next one tells.
+        later = {play for play, held in gone if held.began >= node.asked}
+        out = {play for play, held in self.driver.plays.items() if held.out}
+        self.driver.keeper.spoke(name, there.keys() | elsewhere.keys() | out | later)
+        if later:
+            self.loop.call_soon(node.stream.withdraw)
         node.tries = 0
         # what ended between the predecessor's word and this one did not break off
         how, node.handed = "ok" if node.handed else "broken", False
-        for play, held in list(self.driver.plays.items()):
-            if held.node == name and held.playing is not None and play not in there:
+        for play, _ in gone:
+            if play not in later:
                 self.driver.play_ended(play, how)
         for play, facts in there.items():
             if play not in self.driver.plays and play not in elsewhere:
--- a/tests/front/test_driver.py
+++ b/tests/front/test_driver.py
@@ -110,6 +110,17 @@
     assert rig.viewers.names() == ["fail"]
 
 
+@looped
+async def test_an_answer_that_can_not_be_carried_out_costs_no_other_answer_and_no_other_call():
+    rig = Rig()
+    rig.peers = rig.driver.peers = Script()
+    rig.peers.says["send"] = lambda *_: 1 / 0
+    rig.nodes.says["probe"] = lambda node: rig.driver.hear("probed", node, "ok", 0, {})
+    rig.ask(("probe", "n"), ("tell", None, b""), ALLOCATE)
+    assert rig.nodes.names() == ["probe", "set_up"] and rig.driver.counts["faults"] == 1
+    assert rig.module.names() == ["asked", "probed"] and not rig.driver.inbox
+
+
 @looped
 async def test_a_viewer_who_left_gets_no_answer_and_its_allocation_ends():
     rig = Rig()
--- a/tests/recovery/test_kept.py
+++ b/tests/recovery/test_kept.py
@@ -60,6 +60,20 @@
         await until(lambda: set(front.driver.keeper.state.out) == {row["play"] for row in here})
 
 
+@looped
+async def test_a_nodes_hello_does_not_end_a_set_up_that_is_out_to_it_on_disk(tmp_path, monkeypatch):
+    async with town(tmp_path, TwoDrawn, nodes=1, durability="strict", setup_ms=[2000, 2000]) as place:
+        front, greeted = place.fronts[0], []
+        hello = front.nodes.hello
+        monkeypatch.setattr(front.nodes, "hello", lambda *facts: (hello(*facts), greeted.append(facts)))
+        asking = asyncio.ensure_future(place.ask(product="paid", viewer="one"))
+        await until(lambda: place.rows("setup"))
+        front.nodes.nodes["n000"].stream.withdraw()
+        await until(lambda: greeted)
+        assert set(front.driver.keeper.state.out) == set(front.driver.plays) != set()
+        await asking
+
+
 @looped
 async def test_two_fronts_do_not_share_a_folder(tmp_path):
     async with town(tmp_path, TwoDrawn, durability="lagging") as place:
