Lists and settings that can't be reckoned with are refused with a plain message

At fault: settings/load.py ladder and rules (no upper bound, no bound), front/listing.py take (only the state was looked at). Mend: bounds of rows and titles stand once, in wire/forms.py, for lists and inventories alike; a line beyond them is refused and told; where its node is known, its state still counts (rule 3).

--- a/curlewhall/front/listing.py
+++ b/curlewhall/front/listing.py
@@ -100,11 +100,12 @@
             self.driver.timers.after(0, self.stream.withdraw)
 
     def take(self, listing: forms.Listing, how: str) -> None:
-        rows = [row for row in listing.rows if row.state in STATES]
+        rows = self.sound(listing.rows)
         if how != "changes":
             self.rows, self.titles = {}, {}
         self.rows |= {row.node: row for row in rows}
-        self.titles |= {title.title: title for title in listing.titles}
+        self.titles |= {title.title: title for title in listing.titles
+                        if not self.refused(title.title, title)}
         self.version = listing.version
         self.driver.viewers.titles = self.titles
         rows = [self.shown(row) for row in rows]
@@ -119,6 +120,24 @@
         if how != "old_copy":
             self.keep()
 
+    def sound(self, rows: list[forms.Row]) -> list[forms.Row]:
+        """What can be right of a list. Of a row that can't, a known node's state still counts (rule 3)."""
+        found = []
+        for row in rows:
+            if row.state in STATES and self.refused(row.node, row):
+                known = self.rows.get(row.node)
+                row = known and forms.msgspec.structs.replace(known, state=row.state)
+            if row is not None and row.state in STATES:
+                found.append(row)
+        return found
+
+    def refused(self, name: str, thing: forms.Row | forms.Title) -> bool:
+        """Danger: a port or weight that can't be reckoned with fails calls that are about other plays."""
+        why = forms.wrong(thing)
+        if why:
+            self.driver.log.warning("a line of the list is refused", name=name, why=why)
+        return bool(why)
+
     def shown(self, row: forms.Row) -> forms.Row:
         """A line with the operator's own drains laid over it."""
         if row.node in self.drained and row.state == "serving":
--- a/curlewhall/inventory/form.py
+++ b/curlewhall/inventory/form.py
@@ -4,11 +4,10 @@
 """
 
 import difflib
-import ipaddress
 from collections.abc import Iterable
 from typing import Any, NamedTuple
 
-from curlewhall.wire.forms import Row, Title
+from curlewhall.wire.forms import ROW_BOUNDS, TITLE_BOUNDS, Row, Title, is_address
 
 LARGEST = 32 << 20  # bytes of a file: a hundred times the 300 kB of 2,000 nodes and titles
 MOST = 200_000  # hosts, titles and values together, aliases followed; a bomb has millions
@@ -120,13 +119,10 @@
         host = found["host"]
         if not 1 <= len(host) <= 128 or any(c.isspace() or not c.isprintable() for c in host):
             self.wrong(entry, f"host: found {host[:40]!r}, expected 1 to 128 characters without spaces")
-        try:
-            ipaddress.ip_address(found["address"])
-        except ValueError:
+        if not is_address(found["address"]):
             self.wrong(entry, f"address: found {found['address'][:40]!r}, expected an IPv4 or IPv6 address")
-        self.bound(entry, found, "port", 1, 65535)
-        self.bound(entry, found, "place", 0, 1_000_000)
-        self.bound(entry, found, "weight", 1e-3, 1e6)
+        for name, (low, high) in ROW_BOUNDS.items():
+            self.bound(entry, found, name, low, high)
         state = found.get("state", "serving")
         if state not in STATES:
             self.wrong(entry, f"state: found {state[:40]!r}, expected {' or '.join(STATES)}")
@@ -146,9 +142,8 @@
         first = self.title_lines.setdefault(found["title"], (entry.line, entry.file))
         if first != (entry.line, entry.file):
             self.wrong(entry, f"title {found['title']!r} stands on line {first[0]} already")
-        self.bound(entry, found, "first_place", 0, 1_000_000)
-        self.bound(entry, found, "places", 1, 1_000_000)
-        self.bound(entry, found, "length_s", 0.1, 1e7)
+        for name, (low, high) in TITLE_BOUNDS.items():
+            self.bound(entry, found, name, low, high)
         self.titles[found["title"]] = Title(found["title"], found["first_place"], found["places"],
                                             found["length_s"])
 
--- a/curlewhall/settings/load.py
+++ b/curlewhall/settings/load.py
@@ -165,8 +165,8 @@
     for name, values in (("rung_kb", rungs), ("worth", worth)):
         for i, value in enumerate(values):
             low = values[i - 1] if i else 0
-            if not value > low:
-                yield f"ladder.{name}[{i}]", f"{value:g}", f"more than {low:g}: rungs rise"
+            if not low < value <= 1e12:
+                yield f"ladder.{name}[{i}]", f"{value:g}", f"more than {low:g}: rungs rise, to 1e12 at most"
 
 
 def products(file) -> Wrong:
@@ -218,6 +218,8 @@
     for name in ("fall_ms", "warm_within_ms", "look_back_ms"):
         if found.HasField(name):
             yield from bound(f"rules.{name}", getattr(found, name), 1, 86_400_000, " ms")
+    if found.HasField("extra_per_request"):
+        yield from bound("rules.extra_per_request", found.extra_per_request, 0, 16)
     stated = [name for name in ("look_back_ms", "spare_allocations", "extra_per_request")
               if found.HasField(name)]
     if stated and len(stated) < 3:
--- a/curlewhall/wire/forms.py
+++ b/curlewhall/wire/forms.py
@@ -3,6 +3,8 @@
 Times are milliseconds, rates kB a second, `started_ms` milliseconds since 1970 (0: long past).
 """
 
+import ipaddress
+
 import msgspec
 
 LINE = 4 << 20  # bytes of one line of a stream at most: a hello that names 10,000 plays is half of that
@@ -121,6 +123,28 @@
     titles: list[Title] = []
 
 
+# What a list or an inventory may say; beyond it there is a slip, or nothing that can be reckoned with.
+ROW_BOUNDS = {"port": (1, 65535), "place": (0, 1_000_000), "weight": (1e-3, 1e6), "started_ms": (0, 1 << 53)}
+TITLE_BOUNDS = {"first_place": (0, 1_000_000), "places": (1, 1_000_000), "length_s": (0.1, 1e7)}
+
+
+def wrong(thing: Row | Title) -> str:
+    """What can't be right about a row or title; "" where nothing is."""
+    for name, (low, high) in (ROW_BOUNDS if isinstance(thing, Row) else TITLE_BOUNDS).items():
+        if not low <= getattr(thing, name) <= high:
+            return f"{name}: found {getattr(thing, name):g}, expected {low:g} to {high:g}"
+    return "" if isinstance(thing, Title) or is_address(thing.address) else \
+        f"address: found {thing.address[:40]!r}, expected an IPv4 or IPv6 address"
+
+
+def is_address(text: str) -> bool:
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
 encode = msgspec.json.Encoder().encode
 _decoders: dict[type, msgspec.json.Decoder] = {}
 
--- a/tests/front/test_front.py
+++ b/tests/front/test_front.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 
+import msgspec
 import pytest
 from front.town import town, until
 from loopback import Peer, looped
@@ -10,7 +11,9 @@
 from curlewhall import policy
 from curlewhall.dash import tokens
 from curlewhall.drills.baselines import TwoDrawn
-from curlewhall.front.driver import Clock
+from curlewhall.front.driver import Clock, Driver
+from curlewhall.standins.node import Node
+from curlewhall.wire.forms import Listing, Title
 
 
 @looped
@@ -143,6 +146,100 @@
         assert len(place.rows("setup")) == 2 and asked < 500
 
 
+class Late:
+    """Stands for the exchange of a node's stream: its hello goes out only when it is let."""
+
+    def __init__(self, exchange):
+        self.exchange, self.kept = exchange, []
+
+    def __getattr__(self, name):
+        return getattr(self.exchange, name)
+
+    def __setattr__(self, name, value):
+        if name in ("exchange", "kept"):
+            object.__setattr__(self, name, value)
+        else:
+            setattr(self.exchange, name, value)
+
+    def write(self, data):
+        if self.kept is None:
+            self.exchange.write(data)
+        else:
+            self.kept.append(data)
+
+    def let(self):
+        kept, self.kept = self.kept, None
+        for data in kept:
+            self.exchange.write(data)
+
+
+@pytest.fixture
+def late_hellos(monkeypatch):
+    """Streams asked for from now on whose hello is held back, until `let`."""
+    found, stream = [], Node.stream
+    monkeypatch.setattr(Node, "stream", lambda self, exchange, front: (
+        found.append(Late(exchange)), stream(self, found[-1], front)))
+    return found
+
+
+@looped
+async def test_a_hello_said_before_a_set_up_ends_no_play_of_it(tmp_path, request):
+    async with town(tmp_path, nodes=1) as place:
+        front = place.fronts[0]
+        late, node = request.getfixturevalue("late_hellos"), front.nodes.nodes["n000"]
+        node.stream.withdraw()
+        await until(lambda: late)  # the node has said what it holds: nothing
+        message, plan = await place.ask()
+        assert message.status == 200
+        play, = front.driver.plays
+        late[0].let()
+        await until(lambda: len(late) == 2)  # what that hello can't tell is asked anew
+        late[1].let()
+        assert play in front.driver.plays and front.driver.counts["ended"] == 0
+        place.fleet.nodes["n000"].close(place.fleet.nodes["n000"].plays[play], "ok")
+        await until(lambda: not front.driver.plays)
+
+
+@looped
+async def test_a_node_that_restarts_while_its_first_frame_is_on_its_way_holds_no_play(tmp_path, monkeypatch):
+    async with town(tmp_path, nodes=1) as place:
+        front, ended = place.fronts[0], Driver.set_up_ended
+        node, held_back = front.nodes.nodes["n000"], []
+        monkeypatch.setattr(Driver, "set_up_ended", lambda *facts: held_back.append(facts))
+        asking = asyncio.ensure_future(place.ask())
+        await until(lambda: held_back)
+        place.fault("die")
+        place.fault("start")
+        node.greeted = False
+        await until(lambda: node.greeted)  # by the process after
+        monkeypatch.setattr(Driver, "set_up_ended", ended)
+        ended(*held_back[0])
+        assert (await asking)[0].status == 200
+        node.stream.withdraw()  # a stream that breaks, sooner or later, tells
+        await until(lambda: not front.driver.plays)
+
+
+@looped
+async def test_a_row_that_can_not_be_right_is_refused_and_a_known_nodes_drain_still_counts(tmp_path):
+    async with town(tmp_path, nodes=2) as place:
+        front = place.fronts[0]
+        rows, version = front.follower.rows, front.follower.version
+        known = rows["n000"]
+        change = msgspec.structs.replace
+        wrong = [change(known, weight=0.0, state="draining"), change(known, node="n9", port=99_999),
+                 change(known, node="n8", address="localhost"), change(known, node="n7", weight=1e400),
+                 change(known, node="n6", place=-1), change(known, node="n5", started_ms=-9)]
+        titles = [Title("t1", 0, 0, 60.0), Title("t2", 0, 1 << 60, 60.0), Title("t3", -1, 3, 60.0),
+                  Title("t4", 0, 3, float("inf"))]
+        front.follower.line(Listing("changes", version + 1, version, wrong, titles))
+        assert rows["n000"] == change(known, state="draining") and set(rows) == {"n000", "n001"}
+        assert set(front.driver.module.nodes) == {"n000", "n001"}
+        assert not {title.title for title in titles} & front.viewers.titles.keys()
+        assert front.follower.version == version + 1 and (await place.ask())[0].status == 200
+        said = (tmp_path / "front.log").read_text()
+        assert all(word in said for word in ("weight", "port", "address", "place", "length_s"))
+
+
 @looped
 async def test_plays_of_a_killed_front_are_resumed_by_the_next_one_on_its_port(tmp_path):
     async with town(tmp_path) as place:
--- a/tests/wire/test_wire.py
+++ b/tests/wire/test_wire.py
@@ -158,6 +158,15 @@
     assert reply.ending == "unreached"
 
 
+@looped
+@pytest.mark.parametrize(("address", "port"), [("127.0.0.1", 99_999), ("127.0.0.1", -1), ("no address", 1)])
+async def test_an_address_that_is_none_is_unreached_at_once(address, port):
+    loop = asyncio.get_running_loop()
+    async with asyncio.timeout(5):
+        reply = await Pool(loop, Timers(loop), address, port).fetch(b"x", 20)
+    assert reply.ending == "unreached"
+
+
 @looped
 async def test_late_withdrawn_and_never_sent():
     rig = Rig()
