The disk is met by the store's thread alone; doubts follow a clock that is not set back

Seen: 1. while a disk came back, `again` wrote the whole state on the loop: a slow disk stopped all answers, guards included. 2. `close` over a write that failed at that moment called what waited behind it kept, and wrote it after the torn entry, where it is never read. 3. What was added after `close` was never told. 4. A wall clock set back by an hour under a running front held its doubts and the budget of the process before for an hour and 30 s. At fault: store.py again, close, add; run.py Keeper (the wall clock for spans). Mend: every call of the disk is the thread's; entries that come while the whole is written follow it; `close` asks the thread's latest call; spans go by the steady clock from this process's start. Not mended: a wall clock set back by more than the window across a restart lets the window of a second crash forget what is new (state.py forget); its test is a strict xfail.

--- a/curlewhall/recovery/run.py
+++ b/curlewhall/recovery/run.py
@@ -12,6 +12,10 @@
     return time.time_ns() // 1_000_000
 
 
+def steady_ms() -> int:
+    return time.monotonic_ns() // 1_000_000
+
+
 class NoKeeper:
     """A front without a state folder: nothing is kept, nothing waits."""
 
@@ -44,19 +48,25 @@
     def __init__(self, store: Store | Memory, strict: bool, card: dict, state: State,
                  alone: bool = False) -> None:
         self.store, self.strict, self.state, self.alone = store, strict, state, alone
-        now = unix_ms()
+        # Danger: a wall clock set back under a running front would prolong every doubt by as much.
+        self.offset = unix_ms() - steady_ms()
+        now = self.now()
         look_back = card.get("rules.look_back")
         self.window = Window(self.state, now, None if look_back is None else look_back // 10,
                              card.get("rules.spare_allocations", 0), card.get("rules.extra_per_request", 0.0))
         self.doubts = Doubts(self.state, now)
         self.second, self.count = 0, 0
 
+    def now(self) -> int:
+        """The wall clock of this process's start, gone on steadily."""
+        return self.offset + steady_ms()
+
     def may(self) -> bool:
-        return self.alone or self.window.may(unix_ms(), self.count)
+        return self.alone or self.window.may(self.now(), self.count)
 
     def sending(self, held, number: int, node: str, paid: bool, go: Callable[[bool], None]) -> bool:
         """Whether the allocation may go out now; if not, `go` is called once it may, or may not."""
-        facts, now = held.facts, unix_ms()
+        facts, now = held.facts, self.now()
         if number:
             self.store.add(Further(now))
         waits = self.strict and (paid or number > 0)
@@ -73,7 +83,7 @@
             self.store.add(Over(play))
 
     def took(self) -> None:
-        now = unix_ms()
+        now = self.now()
         if now // 1000 != self.second:
             if self.count:
                 self.store.add(Took(now, self.count))
@@ -88,7 +98,7 @@
             self.store.add(Over(play))
 
     def doubtful(self, viewer: str, title: str, product: str) -> bool:
-        return self.doubts.doubtful(unix_ms(), viewer, title, product)
+        return self.doubts.doubtful(self.now(), viewer, title, product)
 
     def close(self) -> None:
         self.store.close()
--- a/curlewhall/recovery/store.py
+++ b/curlewhall/recovery/store.py
@@ -6,10 +6,11 @@
 files of a later version.
 """
 
+import asyncio
 import fcntl
 import os
 from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import Future, ThreadPoolExecutor
 from pathlib import Path
 
 from . import form
@@ -157,6 +158,9 @@
 class Store:
     """Files with a thread of their own: entries of one turn, and of a write under way, go to disk
     together.
+
+    The state is read and changed on the loop alone; files and their counts in the thread, one call at a time,
+    and on the loop only while none is under way. Every call of the disk is made by the thread.
     """
 
     def __init__(self, files: Files, loop, timers, log) -> None:
@@ -164,7 +168,8 @@
         self.rows: list[Entry] = []
         self.thens: list[Callable[[bool], None]] = []
         self.thread = ThreadPoolExecutor(1, thread_name_prefix="store")
-        self.writing = self.failing = self.closed = False
+        self.writing = self.failing = self.mending = self.closed = False
+        self.under_way: Future | None = None  # the thread's latest call
         self.commits = self.entries = 0
         if files.ill:
             self.failing = True
@@ -173,7 +178,9 @@
     def add(self, entry: Entry, then: Callable[[bool], None] | None = None) -> None:
         """Keep an entry. `then(sure)` is called once it is on disk, or once it is known that it is not."""
         self.files.state.apply(entry)
-        if self.failing:  # the state has it, and is written whole when the disk is back
+        if self.failing or self.closed:  # the state has it, and is written whole when the disk is back
+            if self.mending:
+                self.rows.append(entry)  # after the whole that is being written
             if then is not None:
                 self.loop.call_soon(then, False)
             return
@@ -191,8 +198,12 @@
         thens, self.thens = self.thens, []
         large = self.files.size > LARGE
         whole = form.snapshot(self.files.state.rows()) if large else None
-        future = self.loop.run_in_executor(self.thread, self.write, rows, whole)
-        future.add_done_callback(lambda done: self.written(done, rows, thens))
+        self.run(lambda done: self.written(done, rows, thens), self.write, rows, whole)
+
+    def run(self, done: Callable, what: Callable, *facts) -> None:
+        """Call `what` in the thread, then `done` on the loop."""
+        self.under_way = self.thread.submit(what, *facts)
+        asyncio.wrap_future(self.under_way, loop=self.loop).add_done_callback(done)
 
     def write(self, rows: list[Entry], whole: bytes | None) -> None:
         self.files.append(rows)
@@ -220,22 +231,32 @@
 
     def again(self) -> None:
         """Begin a new generation with the whole state: what failed is in it."""
-        if self.closed:
-            return
-        try:
-            self.files.begin(self.files.generation + 1)
-        except OSError as err:
+        if not self.closed:
+            self.mending = True
+            self.run(self.begun, self.files.begin, self.files.generation + 1,
+                     form.snapshot(self.files.state.rows()))
+
+    def begun(self, done) -> None:
+        err, self.mending = done.exception(), False
+        if err is not None:
+            self.rows = []
             self.log.warning("the state still can't be kept", why=str(err))
             self.timers.after(AGAIN, self.again)
             return
         self.failing = False
         self.log.info("the state is kept again", generation=self.files.generation)
+        if self.rows:
+            self.writing = True
+            self.commit()
 
     def close(self) -> None:
         """Write what is left, give the folder up; whoever waits for what is left is told."""
         self.closed = True
         self.thread.shutdown(wait=True)
-        sure = not self.failing
+        # Danger: a write that failed while the loop waited here has not been heard of by `written` yet, and
+        # what stands after a torn entry is never read.
+        sure = not self.failing or self.mending
+        sure = sure and (self.under_way is None or self.under_way.exception() is None)
         if self.rows and sure:
             try:
                 self.files.append(self.rows)
--- a/tests/recovery/test_recovery.py
+++ b/tests/recovery/test_recovery.py
@@ -4,7 +4,10 @@
 import contextlib
 import errno
 import random
+import select
 import tempfile
+import threading
+import time
 
 import pytest
 from hypothesis import given, settings
@@ -15,6 +18,7 @@
 from curlewhall.cli import logs
 from curlewhall.recovery import form
 from curlewhall.recovery.decide import LONGEST_DOUBT, Doubts, Window
+from curlewhall.recovery.run import Keeper
 from curlewhall.recovery.state import Further, Out, Over, Playing, State, Took
 from curlewhall.recovery.store import Busy, Disk, Files, Store
 from curlewhall.wire.timers import Timers
@@ -244,6 +248,105 @@
     again.close()
 
 
+class Slow(Memory):
+    """A disk whose every call can be held up, and that knows who called."""
+
+    def __init__(self):
+        super().__init__()
+        self.open, self.callers, self.held = threading.Event(), set(), threading.Event()
+        self.open.set()
+
+    def burn(self, *facts):
+        self.callers.add(threading.get_ident())
+        self.held.set()
+        assert self.open.wait(20)
+        return super().burn(*facts)
+
+
+@contextlib.asynccontextmanager
+async def slow_store(tmp_path):
+    loop, disk = asyncio.get_running_loop(), Slow()
+    store = Store(opened(tmp_path, disk), loop, Timers(loop), logs.make("json", "critical"))
+    store.told = asyncio.Queue()
+    disk.callers.clear()
+    try:
+        yield store, disk
+    finally:
+        disk.open.set()
+        disk.fuse = None
+        store.close()
+
+
+async def failed(store, disk):
+    disk.fuse, disk.error = 0, OSError(errno.ENOSPC, "No space left on device")
+    store.add(Further(10), store.told.put_nowait)
+    assert await store.told.get() is False and store.failing
+
+
+@looped
+async def test_a_disk_that_is_slow_in_coming_back_stops_no_answer_and_loses_no_entry(tmp_path):
+    async with slow_store(tmp_path) as (store, disk):
+        await failed(store, disk)
+        disk.open.clear()
+        disk.held.clear()
+        disk.fuse = None
+        while not disk.held.is_set():
+            await asyncio.sleep(0.005)
+        store.add(Further(11), store.told.put_nowait)  # after the state that is being written was taken
+        assert await store.told.get() is False  # nothing waits for a disk that is not known to be back
+        disk.open.set()
+        while store.failing:
+            await asyncio.sleep(0.005)
+        store.add(Further(12), store.told.put_nowait)
+        assert await store.told.get() is True
+        assert threading.get_ident() not in disk.callers
+    again = opened(tmp_path, disk)
+    assert same(again.state, added([Further(10), Further(11), Further(12)]))
+    again.close()
+
+
+@looped
+async def test_a_store_closed_over_a_write_that_fails_calls_nothing_kept(tmp_path):
+    async with slow_store(tmp_path) as (store, disk):
+        disk.open.clear()
+        store.add(Further(10), store.told.put_nowait)
+        while not disk.held.is_set():
+            await asyncio.sleep(0.005)
+        store.add(Further(11), store.told.put_nowait)  # waits for the write under way
+        disk.fuse, disk.error = 0, OSError(errno.EIO, "Input/output error")
+        asyncio.get_running_loop().run_in_executor(None, lambda: (select.select([], [], [], 0.05),
+                                                                  disk.open.set()))
+        store.close()
+        disk.fuse = None
+        store.add(Further(12), store.told.put_nowait)
+        assert [await store.told.get() for _ in range(3)] == [False] * 3
+
+
+def test_a_wall_clock_set_back_while_a_front_runs_prolongs_no_doubt(monkeypatch):
+    wall, steady = [NOW], [5_000]
+    monkeypatch.setattr(time, "time_ns", lambda: wall[0] * 1_000_000)
+    monkeypatch.setattr(time, "monotonic_ns", lambda: steady[0] * 1_000_000)
+    state = State(10_000)
+    state.apply(Out("p", 0, "n", "v", "t", "paid", True, NOW))
+    for _ in range(9):
+        state.apply(Further(NOW))
+    card = {"rules.look_back": 100_000, "rules.spare_allocations": 3, "rules.extra_per_request": 0.1}
+    keeper = Keeper(type("Kept", (), {"add": lambda *facts: None}), True, card, state)
+    assert keeper.doubtful("v", "t", "paid") and not keeper.may()
+    wall[0] -= 3_600_000
+    assert keeper.doubtful("v", "t", "paid") and not keeper.may()
+    steady[0] += LONGEST_DOUBT
+    assert not keeper.doubtful("v", "t", "paid") and keeper.may()
+
+
+@pytest.mark.xfail(strict=True, reason="docs/readiness-review.md: the window after a second crash")
+def test_after_a_clock_set_back_across_a_restart_the_window_keeps_what_is_new():
+    state = State(10_000)
+    for row in (Out("p", 0, "n", "v", "t", "paid", True, NOW + 3_600_000), Further(NOW), Further(NOW + 1)):
+        state.apply(row)
+    assert list(state.further) == [NOW, NOW + 1]
+
+
 NOW = 1_000_000
 
 
