A move's further tries ask the module only where it shows room

Ruled out by the same table of cases (tests/front/test_allocations.py): module, driver and pool make three set-ups at most for one request, one for a paid one that may have run, under six troubles. Mend: the module is asked without effect first; it is asked for good where it shows room, and at last for the answer.

--- a/curlewhall/moves/run.py
+++ b/curlewhall/moves/run.py
@@ -72,7 +72,9 @@
             self.lost(held, "left")
             if held.exchange is not None and held.exchange.open:
                 self.driver.viewers.decline(held, 0)
-        else:
+        elif self.room("", held) or not self.declined(held):
+            # Danger: every ask counts as a play taken, towards the budget of further allocations. So the
+            # module is asked where it shows room, and at last for the answer.
             self.carry_ask(play, held)
 
     def lost(self, held, how: str) -> None:
@@ -101,14 +103,18 @@
 
     def carry_look(self, play: str) -> None:
         driver = self.driver
-        held, ask = driver.plays.get(play), getattr(driver.module, "has_room", None)
+        held = driver.plays.get(play)
         room = held is not None and held.playing is not None and driver.heir is None
-        if room and ask is not None:  # baselines can't be asked
-            facts, title = held.facts, held.title
-            room = ask(driver.clock.now(), play, facts.product, facts.customer, facts.viewer, facts.title,
-                       title.first_place, title.places, facts.top)
+        room = room and self.room(play, held)
         self.carry(self.mover.looked(driver.clock.now(), play, room))
 
+    def room(self, play: str, held) -> bool:
+        """Whether the module would place `held`, asked without effect, once `play` has given its seat up."""
+        ask, facts, title = getattr(self.driver.module, "has_room", None), held.facts, held.title
+        return ask is None or ask(  # baselines can't be asked
+            self.driver.clock.now(), play, facts.product, facts.customer, facts.viewer, facts.title,
+            title.first_place, title.places, facts.top)
+
     def carry_end(self, play: str) -> None:
         held = self.driver.plays.get(play)
         if held is None or held.playing is None:
