The test of an unconfirmed end waits for that end and tells a wrong move in 4 s

Seen, with a fault put in by hand (a mover that asks anew whatever the node said): the test ended only by its limit of 30 s, and a try, which it waited for, is also counted where no end was asked for. It now waits until the end was asked for and is settled, and looks that no play ended: with the fault it fails in 4 s, without it passes.

--- a/tests/front/test_moves.py
+++ b/tests/front/test_moves.py
@@ -159,8 +159,11 @@
         place.fault("freeze", nodes=[first])
         mover = place.fronts[0].driver.moves.mover
         place.fault("drain", nodes=[first])
-        await until(lambda: any(seat.tries for seat in mover.seats.values()))
+        # its end was asked for, and the answer was waited for in vain
+        await until(lambda: '"moving"' in (tmp_path / "front.log").read_text()
+                    and not any(seat.out for seat in mover.seats.values()))
         assert at(place) == [first] and mover.progress()[first]["held"] == 1
+        assert place.fronts[0].driver.counts["ended"] == 0
 
 
 @looped
