--- a/curlewhall/members/decide.py
+++ b/curlewhall/members/decide.py
@@ -213,8 +213,6 @@
             if row.state == DEAD and not fresh and member.state == ALIVE and member.heard > now - PERIOD:
                 return []  # heard of it this moment: it will say so itself
             return self.become(now, row.index, row.state, row.incarnation)
-        if direct and same and member.state == SUSPECT:
-            self.tell(row.index)  # it speaks, and has to hear that it is suspected
         if direct and not fresh and (not same or member.state in (DEAD, LEFT)):
             # it speaks, and does not know what is held of it: a partition healed, or it started anew
             return [("send", row.index, SYNC, 0, NOBODY, (self.row(row.index),))]
