Two rule tests that a fault put in by hand got past are made to bite

The test of two allocations out only answered the probes of the first turn; now whatever is asked is answered, and it fails with the fault. A front's part of the pace has a case of its own.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -69,6 +69,16 @@
     assert least <= taken <= most
 
 
+def test_a_fronts_part_of_a_young_nodes_pace_goes_by_the_number_of_fronts(make):
+    # 0.75 x 4 x 0.4 of 80 streams over 12 s: 8 set-ups a second, for four fronts
+    taken = {}
+    for fronts in (1, 4):
+        bench = make(fronts=fronts, **{"specifics.kind_streams": [80]})
+        bench.list("changes", ("n0", {"started": bench.now}))
+        taken[fronts] = sum(len(sent(bench.ask("dear", places=1, top=0)[1])) for _ in range(12))
+    assert taken[4] == 2 < taken[1] <= 8
+
+
 def test_a_play_resumed_on_an_unknown_node_is_let_be(bench):
     bench.front.resumed(bench.now, play="r", product="cheap", customer="", viewer="r", title="t",
                         first_place=0, places=4, top_rung=3, length=None, node="n9")
@@ -101,3 +111,10 @@
     said += bench.front.wake(bench.now, label)
     said += [a for n in probes for a in bench.front.probed(bench.now, n, "ok", 10, {"link_share": 0.1})]
     assert len(probes) == 1 and len(sent(said)) == 1
+    # nor when other nodes, asked for another play meanwhile, answer while it is out
+    for step in range(6):
+        for answer in list(said):
+            if answer[0] == "probe":
+                said += bench.front.probed(bench.now, answer[1], "ok", 10, {"link_share": 0.1})
+        said += bench.front.wake(bench.now, step)
+    assert len(sent(said)) == 1
