--- a/tests/front/test_front.py
+++ b/tests/front/test_front.py
@@ -18,6 +18,7 @@
 from curlewhall.front.serve import FrontProcess
 from curlewhall.settings import parse
 from curlewhall.standins.node import Node
+from curlewhall.wire.client import Pool
 from curlewhall.wire.forms import Listing, Title
 
 
@@ -151,6 +152,29 @@
         assert len(place.rows("setup")) == 2 and asked < 500
 
 
+@looped
+async def test_a_drain_told_while_the_connection_is_made_stops_the_set_up(tmp_path, monkeypatch):
+    async with town(tmp_path, TwoDrawn, nodes=2) as place:
+        front, take, gate, waiting = place.fronts[0], Pool.take, asyncio.Event(), []
+
+        async def slow(self):
+            waiting.append(self)
+            await gate.wait()
+            return await take(self)
+
+        for node in front.nodes.nodes.values():
+            monkeypatch.setattr(node.pool, "take", slow.__get__(node.pool))
+        asking = asyncio.ensure_future(place.ask(product="paid"))
+        await until(lambda: waiting)
+        first, = [name for name, node in front.nodes.nodes.items() if node.pool is waiting[0]]
+        change = msgspec.structs.replace(front.follower.rows[first], state="draining")
+        front.follower.line(Listing("changes", front.follower.version + 1, front.follower.version, [change]))
+        gate.set()
+        assert (await asking)[0].status == 200
+        setup, = place.rows("setup")
+        assert setup["at"] != f"node:{first}" and not place.rows("refused")
+
+
 class Late:
     """Stands for the exchange of a node's stream: its hello goes out only when it is let."""
 
@@ -286,6 +310,28 @@
         assert not front.driver.plays and front.driver.counts["ended"] == 1
 
 
+@looped
+async def test_nodes_that_are_replaced_for_as_long_as_a_front_runs_are_let_go(tmp_path):
+    async with town(tmp_path, nodes=1) as place:
+        front = place.fronts[0]
+        follower, mover, row = front.follower, front.driver.moves.mover, front.follower.rows["n000"]
+        clock, ahead = front.driver.clock, [0]
+        source = clock.source
+        clock.source = lambda: source() + ahead[0]
+        for i in range(40):
+            for state in ("serving", "gone"):
+                fresh = msgspec.structs.replace(row, node=f"m{i}", place=1, address="127.0.0.1", port=1,
+                                                state=state)
+                follower.line(Listing("changes", follower.version + 1, follower.version, [fresh]))
+            ahead[0] += 100
+            await until(lambda i=i: f"m{i}" not in front.nodes.nodes
+                        or front.nodes.nodes[f"m{i}"].stream is None)
+        for held in (follower.rows, front.nodes.nodes, front.driver.module.nodes, mover.heard, mover.rooms,
+                     mover.cold, mover.at):
+            assert len(held) < 10, held
+        assert (await place.ask())[0].status == 200
+
+
 @looped
 @pytest.mark.parametrize(("said", "words"), [
     (b"{not a list\n", "the list is malformed"), (b'{"how":"changes","version":99,"since":98}\n', "a gap")])
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -92,6 +92,36 @@
     assert [verbs(bench.ask("dear")[1])[-1] for _ in range(3)] == ["allocate", "allocate", "decline"]
 
 
+def test_a_paid_play_that_gets_the_last_tenth_enters_at_its_floor(bench):
+    bench.front.probed(bench.now, "n0", "ok", 10, {"link_asked": 0.92, "uplink_asked": 0.1})
+    assert [a[2] for a in bench.ask("paid", places=1)[1] if a[0] == "rung"] == [1]
+
+
+@pytest.mark.parametrize(("product", "steps"), [("paid", 0), ("dear", 1)])
+@pytest.mark.parametrize("link", [1.3, 0.5])  # the link is short, or the uplink that nobody reports
+def test_a_note_of_short_delivery_steps_no_play_under_its_floor(bench, product, link, steps):
+    bench.front.probed(bench.now, "n0", "ok", 10, {"link_asked": 0.1})
+    play, _ = bench.play(product, places=1, top=1)
+    bench.wait(1)
+    bench.front.probed(bench.now, "n0", "ok", 10, {"link_asked": link})
+    said = bench.front.note(bench.now, play, 0, "n0", "delivered", 0.2)
+    assert said == [("rung", play, 0)] * steps
+
+
+def test_plays_of_the_windows_oldest_second_pay_for_no_further_allocation(make):
+    bench = make(**{"rules.extra_per_request": 1.0, "rules.spare_allocations": 0,
+                    "rules.look_back": 5 * SECOND})
+    for _ in range(3):
+        bench.ask()
+    bench.wait(4.5)
+    play, said = bench.ask()
+    further = 0
+    while found := sent(said):
+        said = bench.end(play, "full", found[0][2], further)
+        further += len(sent(said))
+    assert further == 1 and verbs(said) == ["decline"]
+
+
 def test_further_allocations_keep_to_the_budget(make):
     bench = make(**{"rules.extra_per_request": 0.1, "rules.spare_allocations": 2,
                     "rules.look_back": 5 * SECOND})
