Nodes that are gone are let go by the front and the mover; a front's index is told again

Seen: over twenty machines replaced under new names, the list's follower, the nodes' side with a pool each and the mover's reports kept all of them. At fault: listing.py take (gone rows stayed until the next whole list), nodes.py listed (nothing was ever forgotten), moves/decide.py listed (heard, cold, at). Mend: a gone row is dropped, its node forgotten after 10 minutes without stream or plays, as in the module; the mover keeps what is listed or holds plays. Also: own_index is back in the rate card.

--- a/curlewhall/front/listing.py
+++ b/curlewhall/front/listing.py
@@ -104,6 +104,7 @@
         if how != "changes":
             self.rows, self.titles = {}, {}
         self.rows |= {row.node: row for row in rows}
+        self.rows = {name: row for name, row in self.rows.items() if row.state != "gone"}
         self.titles |= {title.title: title for title in listing.titles
                         if not self.refused(title.title, title)}
         self.version = listing.version
--- a/curlewhall/front/nodes.py
+++ b/curlewhall/front/nodes.py
@@ -17,6 +17,7 @@
 FOREVER = 86_400.0
 END_LIMIT = 1.0  # for what is said to a node without waiting for it
 PAUSES = (0.1, 0.3, 1.0, 2.0)  # before a broken stream is asked for again
+FORGOTTEN = 600 * 10_000  # after so long out of sight a gone node is let go, as the module does
 NOTES = ("delivered", "link_asked", "uplink_asked")
 
 
@@ -47,6 +48,11 @@
 
     def listed(self, rows: list[forms.Row], whole: bool) -> None:
         """Follow the list: pools for what is new, none for what is gone, fresh ones for what started anew."""
+        # Danger: machines are replaced under new names for as long as a front runs.
+        old = self.driver.clock.now() - FORGOTTEN
+        for node in [n for n in self.nodes.values() if n.row.state == "gone" and n.since < old]:
+            if node.stream is None and node.pause is None:
+                self.forget(node)
         for row in rows:
             node = self.nodes.get(row.node)
             if node and (node.row.address, node.row.port) != (row.address, row.port):
--- a/curlewhall/moves/decide.py
+++ b/curlewhall/moves/decide.py
@@ -106,6 +106,10 @@
             if rows[node].started == 0 and self.rooms[node].started:
                 rows[node] = rows[node]._replace(started=self.rooms[node].started)
         self.rooms, self.cells = rows, {}
+        # what is gone is let go: its reports say nothing when it comes back
+        self.heard = {node: heard for node, heard in self.heard.items() if node in rows}
+        self.cold = {node: times for node, times in self.cold.items() if node in rows}
+        self.at = {node: plays for node, plays in self.at.items() if plays or node in rows}
         for node, room in rows.items():
             self.cells.setdefault(room.place % max(1, self.terms["specifics.places"]), []).append(node)
             self.heard.setdefault(node, Heard())
--- a/curlewhall/settings/card.py
+++ b/curlewhall/settings/card.py
@@ -20,7 +20,7 @@
                       "first_frame_target": 10 * p.first_frame_target_ms, "time_limit": 10 * p.time_limit_ms}
                      for p in file.product],
         "customers": [{"name": c.name, "allowance_per_s": c.allowance_per_s} for c in file.customer],
-        "fronts": file.identity.fronts, "zone": file.identity.zone,
+        "fronts": file.identity.fronts, "own_index": file.identity.index, "zone": file.identity.zone,
         "kinds": [kind.name for kind in fleet.kind],
         "report.how": HOW[file.reports.how],
         "specifics.rung_kb": list(file.ladder.rung_kb), "specifics.level_worth": list(file.ladder.worth),
