--- a/curlewhall/policy.py
+++ b/curlewhall/policy.py
@@ -66,7 +66,7 @@
         self.id, self.row, self.plays = row.node, row, {}
         self.changes, self.starts = Changes(10 * SECOND), deque(maxlen=99)  # kB a second, own allocations
         self.link = self.share = self.streams = 0
-        self.heard, self.heard_at = 0, NEVER
+        self.listed, self.heard, self.heard_at = NEVER, 0, NEVER  # listed: when it was last not gone
         self.short_at = self.eased_at = self.full_at = self.cold_from = self.doubted_at = NEVER
         self.doubt, self.broken, self.probe_out, self.waiting = 0, False, False, []
         self.used = NEVER, 0, None  # when, after which change, what `use` said
