After a crash a node that shows plays of the disk is known to have run since

Change: what is on disk already says when each play went to its node; a node whose hello still shows it has run since, for a process that ends loses its plays. recovery/decide.py says for how long, the module is told of the play as of then and paces the node from there, or from a later start that the list tells. No new entry, no new form.

--- a/curlewhall/front/driver.py
+++ b/curlewhall/front/driver.py
@@ -146,14 +146,17 @@
         """A play of an earlier process of this front, found at its node."""
         now = self.clock.now()
         held = Held(facts, title, None, now, now)
-        self.log.info("resumed", play=facts.play, node=node, rung=facts.rung)
-        self.found_at(held, node)
+        ran = 10 * self.keeper.ran_for(facts.play, facts.number)
+        self.log.info("resumed", play=facts.play, node=node, rung=facts.rung, ran_ms=ran / 10)
+        self.found_at(held, node, now - ran)
         self.holds(held, node)
 
-    def found_at(self, held: Held, node: str) -> None:
-        """Tell the module of a play that it did not place; it takes its seat from now on."""
+    def found_at(self, held: Held, node: str, then: int | None = None) -> None:
+        """Tell the module of a play that it did not place; it takes its seat from now on. `then`: when it is
+        known to have been there already; None: now.
+        """
         facts, title = held.facts, held.title
-        self.hear("resumed", facts.play, facts.product, facts.customer, facts.viewer, facts.title,
+        self.hear_of(then, "resumed", facts.play, facts.product, facts.customer, facts.viewer, facts.title,
                   title.first_place, title.places, facts.top, None, node)
 
     def holds(self, held: Held, node: str) -> None:
--- a/curlewhall/interface.py
+++ b/curlewhall/interface.py
@@ -72,7 +72,9 @@
 
     def resumed(self, now: int, play: str, product: str, customer: str, viewer: str, title: str,
                 first_place: int, places: int, top_rung: int, length: int | None, node: str) -> Answers:
-        """A play was under way on `node` when the front started; it counts as allocation 0."""
+        """A play was under way on `node` when the front started; it counts as allocation 0.
+
+        `now` may lie before the front's birth, by as long as the play is known to have been there."""
 
     def first_frame(self, now: int, play: str, number: int, node: str, took: int) -> Answers:
         """Allocation `number` plays. That was the play's final answer."""
--- a/curlewhall/policy.py
+++ b/curlewhall/policy.py
@@ -165,10 +165,13 @@
                 node):
         if node in self.nodes:
             ply = self.take(now, play, product, customer, viewer, title, now, first_place, places, top_rung)
+            # Danger: a young front paces all that it finds as cold. What played there then ran by then.
+            found = self.nodes[node]
+            found.cold_from = min(found.cold_from, max(now, found.row.started))
             ply.looked -= self.chance(10 * SECOND)
             ply.answered, ply.stepped = True, now - 10 * SECOND  # not stepped by this front: free to step up
-            ply.allocations.append(Allocation(self.nodes[node], now))
-            self.nodes[node].plays[play] = ply
+            ply.allocations.append(Allocation(found, now))
+            found.plays[play] = ply
         return self.said()
 
     def first_frame(self, now, play, number, node, took):
--- a/curlewhall/recovery/decide.py
+++ b/curlewhall/recovery/decide.py
@@ -33,6 +33,17 @@
         return any((viewer, title, product) in asks for asks in self.by_node.values())
 
 
+def ran_for(state: State, now: int, play: str, number: int, longest: int) -> int:
+    """For how long, `longest` at most, a node that shows the play has surely run: milliseconds; 0: not known.
+
+    A node that starts anew has lost its plays. So one that still shows an allocation ran when that went out.
+    """
+    out = state.out.get(play)
+    if out is None or out.number != number or play not in state.playing:
+        return 0
+    return max(0, min(longest, now - out.at))
+
+
 class Window:
     """The budget of further allocations over the crash: the module counts from its start, the rule does not.
 
--- a/curlewhall/recovery/run.py
+++ b/curlewhall/recovery/run.py
@@ -3,7 +3,7 @@
 import time
 from collections.abc import Callable
 
-from .decide import Doubts, Window
+from .decide import Doubts, Window, ran_for
 from .state import Further, Out, Over, Playing, State, Took
 from .store import Memory, Store
 
@@ -36,6 +36,9 @@
     def doubtful(self, viewer: str, title: str, product: str) -> bool:
         return False
 
+    def ran_for(self, play: str, number: int) -> int:
+        return 0
+
     def close(self) -> None: ...
 
 
@@ -55,6 +58,7 @@
         self.window = Window(self.state, now, None if look_back is None else look_back // 10,
                              card.get("rules.spare_allocations", 0), card.get("rules.extra_per_request", 0.0))
         self.doubts = Doubts(self.state, now)
+        self.warm = card.get("rules.warm_within", 0) // 10
         self.second, self.count = 0, 0
 
     def now(self) -> int:
@@ -97,6 +101,10 @@
                      and out.play not in plays]:
             self.store.add(Over(play))
 
+    def ran_for(self, play: str, number: int) -> int:
+        """For how long the node that shows the play has run at least, as far as it matters: milliseconds."""
+        return ran_for(self.state, self.now(), play, number, self.warm)
+
     def doubtful(self, viewer: str, title: str, product: str) -> bool:
         return self.doubts.doubtful(self.now(), viewer, title, product)
 
--- a/tests/recovery/test_kept.py
+++ b/tests/recovery/test_kept.py
@@ -3,11 +3,13 @@
 import asyncio
 import errno
 
+import msgspec
 import pytest
 from front.town import town, until
 from loopback import looped
 
 from curlewhall.drills.baselines import TwoDrawn
+from curlewhall.recovery.state import Playing
 from curlewhall.recovery.store import Busy, Disk
 
 
@@ -74,6 +76,29 @@
         await asking
 
 
+@looped
+@pytest.mark.parametrize("age", [60_000, 0])
+async def test_after_a_kill_nodes_are_not_paced_as_cold_that_show_plays_of_long_ago(tmp_path, age):
+    async with town(tmp_path, TwoDrawn, nodes=4, durability="lagging") as place:
+        for i in range(24):
+            assert (await place.ask(viewer=f"v{i}", top=0))[0].status == 200
+        keeper = place.fronts[0].driver.keeper
+        await until(lambda: len(keeper.state.playing) == 24)
+        assert {out.node for out in keeper.state.out.values()} == set(place.fleet.nodes)
+        for out in list(keeper.state.out.values()):  # as if they had been set up long ago
+            keeper.store.add(msgspec.structs.replace(out, at=out.at - age))
+            keeper.store.add(Playing(out.play, out.number))
+        await until(lambda: not keeper.store.writing)
+        await place.kill(place.fronts[0])
+        front = await place.front()
+        await until(lambda: front.driver.counts["resumed"] == 24)
+        nodes, now = front.driver.module.nodes.values(), front.driver.clock.now()
+        ran = {now - node.cold_from >= front.driver.card["rules.warm_within"] for node in nodes}
+        assert ran == {bool(age)}
+        answers = await asyncio.gather(*[place.ask(viewer=f"w{i}", top=0) for i in range(60)])
+        assert not age or all(message.status == 200 for message, _ in answers)
+
+
 @looped
 async def test_two_fronts_do_not_share_a_folder(tmp_path):
     async with town(tmp_path, TwoDrawn, durability="lagging") as place:
--- a/tests/recovery/test_recovery.py
+++ b/tests/recovery/test_recovery.py
@@ -17,7 +17,7 @@
 
 from curlewhall.cli import logs
 from curlewhall.recovery import form
-from curlewhall.recovery.decide import LONGEST_DOUBT, Doubts, Window
+from curlewhall.recovery.decide import LONGEST_DOUBT, Doubts, Window, ran_for
 from curlewhall.recovery.run import Keeper
 from curlewhall.recovery.state import Further, Out, Over, Playing, State, Took
 from curlewhall.recovery.store import Busy, Disk, Files, Store
@@ -379,6 +379,15 @@
     assert not doubts.doubtful(NOW, *ask)
 
 
+@pytest.mark.parametrize(("rows", "number", "expected"), [
+    ([Playing("p", 0)], 0, 400), ([Playing("p", 0)], 1, 0), ([], 0, 0), ([Playing("p", 0), Over("p")], 0, 0)])
+def test_a_node_that_shows_a_play_ran_when_it_was_set_up(rows, number, expected):
+    state = added([Out("p", 0, "n", "v", "t", "paid", True, NOW - 400), *rows])
+    assert ran_for(state, NOW, "p", number, 1000) == expected
+    assert ran_for(state, NOW - 500, "p", number, 1000) == 0  # a clock set back
+    assert ran_for(state, NOW + 9000, "p", number, 1000) == (1000 if expected else 0)
+
+
 @pytest.mark.parametrize(("took", "further", "uncounted", "later", "may"), [
     (0, 0, 0, 0, True), (0, 3, 0, 0, False), (10, 3, 0, 0, True), (10, 4, 0, 0, False), (0, 3, 10, 0, True),
     (0, 9, 0, 10_000, True),
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -69,6 +69,17 @@
     assert least <= taken <= most
 
 
+@pytest.mark.parametrize(("ago", "started", "expected"), [(12, 0, 6), (1, 0, 1), (12, -1, 1)])
+def test_a_young_front_believes_a_node_to_have_run_while_a_play_was_there(make, ago, started, expected):
+    bench = make()
+    bench.list("changes", ("n4", {"started": started and bench.now + started * SECOND}),
+               ("n0", {"state": "gone"}))  # new to this front; the list may know of its start
+    bench.front.resumed(bench.now - ago * SECOND, play="r", product="dear", customer="", viewer="r",
+                        title="t", first_place=0, places=1, top_rung=0, length=None, node="n4")
+    said = [verbs(bench.ask("dear", first=0, places=1, top=0)[1])[-1] for _ in range(6)]
+    assert said.count("allocate") == expected
+
+
 def test_a_fronts_part_of_a_young_nodes_pace_goes_by_the_number_of_fronts(make):
     # 0.75 x 4 x 0.4 of 80 streams over 12 s: 8 set-ups a second, for four fronts
     taken = {}
