A second restart asked for is refused without ending the wait of the first

Seen in a drill that asked for restarts faster than two workers can be replaced: the first asker was told 'a restart is under way', not ok, though its restart went on and came to a good end, which nobody heard. At fault: daemon/decide.py asked answered the refusal as the end of the wish, and daemon/run.py carry_done ends the wait of all who asked for the same. Ruled out: the supervisor's own state (the first wish stays in force). Mend: a refusal is a word of its own, for the latest asker alone. The test asks twice at once and failed before with two refusals.

--- a/curlewhall/daemon/decide.py
+++ b/curlewhall/daemon/decide.py
@@ -8,6 +8,7 @@
 - `("stop", number)`, `("hurry", number)`, `("kill", number)`: let it answer what it took and leave; shorten
   that; end it outright.
 - `("done", what, ok, text)`: a restart, reload or stop that someone asked for has come to its end.
+- `("refused", what, text)`: what was asked for this moment is not begun; the same, asked for before, goes on.
 - `("wake", span)`: call `wake` then. `("end",)`: every worker is gone, the daemon may leave.
 
 Danger: a front that can't start, started again and again, is a crash loop that hides its cause. Pauses grow,
@@ -147,7 +148,7 @@
                 out += [*self.told(True, "stopped"), ("end",)]
             return out + self.watch(now)
         if self.stopping or self.wish:
-            return [("done", what, False, "the daemon is stopping" if self.stopping else
+            return [("refused", what, "the daemon is stopping" if self.stopping else
                      f"a {self.wish} is under way")]
         self.wish, self.left = what, set(range(len(self.slots)))
         return self.next_slot(now) + self.watch(now)
--- a/curlewhall/daemon/run.py
+++ b/curlewhall/daemon/run.py
@@ -162,6 +162,11 @@
         if what != "stop":
             self.notify.say("READY=1", f"STATUS={what}: {text}"[:200])
 
+    def carry_refused(self, what: str, text: str) -> None:
+        """Danger: whoever asked first must not be told that his wish is refused, nor miss how it ends."""
+        self.log.info("refused", what=what, text=text)
+        self.waiting[what].pop().set_result((False, text))
+
     def carry_say(self, text: str) -> None:
         self.log.warning("worker", text=text)
         self.said.append(text)
--- a/tests/daemon/test_process.py
+++ b/tests/daemon/test_process.py
@@ -7,6 +7,8 @@
 import socket
 import subprocess
 import sys
+import threading
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 import pytest
@@ -89,6 +91,17 @@
     assert events.count("ready") >= 5 and "handed over" in events
 
 
+def test_a_second_wish_is_refused_and_the_first_hears_how_it_ended(place):
+    file, folder, home, _ = place
+    assert command("start", file, "--detach", "--log", folder / "log").returncode == 0
+    begun = threading.Barrier(2)
+    with ThreadPoolExecutor(2) as pool:
+        told = [job.result() for job in [pool.submit(lambda: (begun.wait(), ask(home, "restart"))[1])
+                                         for _ in range(2)]]
+    assert sorted((reply["ok"], reply["text"]) for reply in told) == [
+        (False, "a restart is under way"), (True, "every worker was replaced")]
+
+
 def test_a_daemon_that_is_killed_leaves_no_front_behind_and_the_next_one_starts(place):
     file, folder, home, _ = place
     assert command("start", file, "--detach").returncode == 0
--- a/tests/daemon/test_supervisor.py
+++ b/tests/daemon/test_supervisor.py
@@ -127,13 +127,13 @@
     rig = Rig()
     rig.hear("asked", "stop")
     assert rig.hear("asked", "stop") == [("hurry", 1)] and rig.hear("asked", "stop") == []
-    assert rig.hear("asked", "restart") == [("done", "restart", False, "the daemon is stopping")]
+    assert rig.hear("asked", "restart") == [("refused", "restart", "the daemon is stopping")]
 
 
 def test_one_wish_at_a_time():
     rig = Rig()
     rig.hear("asked", "restart")
-    assert rig.hear("asked", "reload") == [("done", "reload", False, "a restart is under way")]
+    assert rig.hear("asked", "reload") == [("refused", "reload", "a restart is under way")]
 
 
 class AnyOrder(RuleBasedStateMachine):
