A front that stops resets nobody who waits for it

Seen in drill leave with two workers (rule 1): viewers who came within the last 50 ms of a stop had their connections reset, without an answer; with six viewers who come without pause every stop resets some, with one worker as well. At fault: front/serve.py stop paused accepting and closed 50 ms later, and the daemon held the listening socket to its end: who waits in a socket that closes is reset. Ruled out: the way from one worker to another (a stopping worker now keeps what it reads, which did not end it), and plays under way (their answers were given). Mend: the daemon gives up its hold first; a filter on the socket drops first segments (no privileges needed); who is on the way is accepted, asked and answered; where no worker serves yet the daemon says 503.

--- a/curlewhall/daemon/run.py
+++ b/curlewhall/daemon/run.py
@@ -37,6 +37,21 @@
     return int(time.monotonic() * SECOND)
 
 
+NO = (b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\ncontent-length: 0\r\n"
+      b"connection: close\r\n\r\n")
+
+
+def turn_away(sock: socket.socket) -> None:
+    """Say no to those who wait in a listening socket while no worker is there to do it."""
+    with contextlib.suppress(OSError):
+        while True:
+            line, _ = sock.accept()
+            line.setblocking(False)
+            with line, contextlib.suppress(OSError):
+                line.recv(1 << 16)  # what is unread when it closes resets it
+                line.send(NO)
+
+
 class Process:
     """A worker's process and the channel to it."""
 
@@ -278,6 +293,13 @@
         self.waiting.setdefault(what, []).append(future)
         if what == "stop":
             self.notify.say("STOPPING=1")
+            # Danger: who waits in a listening socket when its last holder closes it is reset, unanswered. The
+            # workers hold it to the end and take in who waits; so it must not outlive them here.
+            serving = any(row["state"] == "serving" for row in self.supervisor.state())
+            for sock in self.sockets:
+                if not serving:
+                    turn_away(sock)
+                sock.close()
         self.carry(self.supervisor.asked(now(), what))
         ok, text = await future
         return {"ok": ok, "text": text}
--- a/curlewhall/daemon/worker.py
+++ b/curlewhall/daemon/worker.py
@@ -101,7 +101,13 @@
         calm_collector()
 
     def route(self, messages):
-        """Another worker's viewer goes there, connection and all, by way of the daemon."""
+        """Another worker's viewer goes there, connection and all, by way of the daemon.
+
+        Danger: a daemon stops its workers together. The other one may be gone when the connection comes, and
+        nobody answers (rule 1); this one says no as well as that one would.
+        """
+        if self.stopping:
+            return None
         slots = {owner(message.target, self.workers) for message in messages}
         slot = slots.pop() if len(slots) == 1 else None
         if slot is None or slot == self.slot:
--- a/curlewhall/front/serve.py
+++ b/curlewhall/front/serve.py
@@ -36,6 +36,7 @@
 from .viewers import Viewers
 
 POLICY = "curlewhall.policy:Front"
+LAST = 0.1  # seconds for who is on the way when the door is shut, and for requests and the last answers
 
 
 def policy(name: str) -> Callable:
@@ -218,8 +219,10 @@
         if self.peers.members is not None:
             self.peers.members.leave()
         if self.server is not None:
-            self.server.pause()
-        await asyncio.sleep(0.05)  # the last answers go out
+            self.server.shut()
+            await asyncio.sleep(LAST)
+            self.server.stop_when_empty()
+        await asyncio.sleep(LAST)
         self.close()
 
     def close(self) -> None:
--- a/curlewhall/wire/server.py
+++ b/curlewhall/wire/server.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import ctypes
 import socket
 import struct
 from collections import deque
@@ -250,6 +251,13 @@
                 exchange.gone()
 
 
+SO_ATTACH_FILTER = 26  # socket(7), linux/filter.h
+# Load the byte of the flags (RFC 9293 section 3.1); drop what has SYN in it, take all else.
+_FILTER = ctypes.create_string_buffer(b"".join(struct.pack("HBBI", *line) for line in (
+    (0x30, 0, 0, 13), (0x45, 0, 1, 0x02), (0x06, 0, 0, 0), (0x06, 0, 0, 0xFFFFFFFF))))
+NO_SYN = struct.pack("HP", 4, ctypes.addressof(_FILTER))
+
+
 class Server:
     """Accepts until `stop`. More connections than the limit are closed unanswered.
 
@@ -284,18 +292,19 @@
             self.accepting = False
             self.loop.remove_reader(self.sock)
 
-    def arrivals(self) -> None:
+    def arrivals(self) -> bool:
+        """Take some of those who wait; whether there may be more."""
         for _ in range(self.AT_ONCE):
             try:
                 sock, peer = self.sock.accept()
             except BlockingIOError:
-                return
+                return False
             except ConnectionError:
                 continue  # it has gone again
             except OSError:
                 self.pause()  # out of descriptors: let some connections end first
                 self.timers.after(0.05, self.accept)
-                return
+                return False
             sock.setblocking(False)
             if len(self.connections) >= self.limits.connections:
                 self.turned_away += 1
@@ -303,6 +312,7 @@
                 continue
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.adopt(sock, peer)
+        return True
 
     def adopt(self, sock: socket.socket, peer, first: bytes = b"", routed: bool = False) -> None:
         """Serve a connection, of which `first` was read already; `routed`: whoever it would go to else."""
@@ -328,6 +338,23 @@
             if not exchange.begun:
                 exchange.reply(500)
 
+    def shut(self) -> None:
+        """Let nobody new come, at any process that holds this socket; who is on the way is still accepted.
+
+        Danger: who waits in a socket that closes is reset, unanswered. A first segment that is dropped is
+        sent again a second later, and finds the port closed.
+        """
+        if self.sock.fileno() >= 0:
+            with contextlib.suppress(OSError):  # another system: the moment before the end stays open
+                self.sock.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, NO_SYN)
+
+    def stop_when_empty(self) -> None:
+        """Accept all who wait, then no more."""
+        rounds = 64 if self.sock.fileno() >= 0 else 0  # of 64: a queue is shorter, a flood has no end
+        while rounds and self.arrivals():
+            rounds -= 1
+        self.stop()
+
     def stop(self) -> None:
         """Accept no more; what is open stays open."""
         self.pause()
--- a/tests/daemon/test_process.py
+++ b/tests/daemon/test_process.py
@@ -102,6 +102,60 @@
         (False, "a restart is under way"), (True, "every worker was replaced")]
 
 
+@pytest.mark.parametrize("workers", [1, 2])
+def test_whoever_comes_while_a_daemon_stops_is_answered_or_refused_but_never_reset(place, workers):
+    """Danger: what waits in the queue of a listening socket that closes is reset, and has no answer."""
+    file, folder, home, plan = place
+    file.write_text(settings(plan | {"daemon": workers}, 0))
+    assert command("start", file, "--detach", "--log", folder / "log").returncode == 0
+    where, outcomes, ended = plan["fronts"][0], [], threading.Event()
+
+    def viewer(number):
+        for i in range(100_000):
+            sock = socket.socket()
+            sock.settimeout(20)
+            try:
+                sock.connect((where["address"], where["port"]))
+                target = f"/play/clip-00?product=plain&viewer=v{number}-{i}"
+                sock.sendall(f"GET {target} HTTP/1.1\r\nhost: x\r\n\r\n".encode())
+                outcomes.append(sock.recv(12).decode() or "closed unanswered")
+            except OSError as err:
+                outcomes.append(type(err).__name__)
+                if ended.is_set():
+                    return
+            finally:
+                sock.close()
+
+    with ThreadPoolExecutor(6) as pool:
+        jobs = [pool.submit(viewer, number) for number in range(6)]
+        poll(lambda: len(outcomes) > 60)
+        stopped = command("stop", file)
+        ended.set()
+        for job in jobs:
+            job.result()
+    assert stopped.returncode == 0
+    assert set(outcomes) <= {"HTTP/1.1 200", "HTTP/1.1 503", "HTTP/1.1 404", "ConnectionRefusedError"}
+
+
+def test_whoever_waits_for_a_daemon_that_is_stopped_before_it_serves_is_told_no(place):
+    file, folder, home, plan = place
+    where = plan["fronts"][0]["address"], plan["fronts"][0]["port"]
+    daemon = subprocess.Popen([sys.executable, "-m", "curlewhall", "start", str(file)],
+                              stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+
+    def connected():
+        sock = socket.socket()
+        sock.settimeout(20)
+        return sock if sock.connect_ex(where) == 0 else sock.close()
+
+    with poll(connected) as sock:
+        sock.sendall(b"GET /play/clip-00?product=plain&viewer=v HTTP/1.1\r\nhost: x\r\n\r\n")
+        poll(lambda: (Path(home) / "control").exists())
+        assert ask(home, "stop")["ok"]
+        assert sock.recv(12) == b"HTTP/1.1 503"
+    assert daemon.wait(20) == 0
+
+
 def test_a_daemon_that_is_killed_leaves_no_front_behind_and_the_next_one_starts(place):
     file, folder, home, _ = place
     assert command("start", file, "--detach").returncode == 0
