Drills restart, steady and leave play several workers a front

The judge counts a worker's takes by its plays' ids (two cases of its table). Stand-ins on loopback.

--- a/curlewhall/cli/main.py
+++ b/curlewhall/cli/main.py
@@ -67,9 +67,11 @@
 @click.option("--mover", default=None, metavar="MODULE:CLASS", help="Another mover, for comparison.")
 @click.option("--trouble", multiple=True, metavar="NAME", help="Only these kinds of trouble, by name.")
 @click.option("--json", "out", type=click.Path(dir_okay=False), default=None, help="Write the result here.")
+@click.option("--workers", type=click.IntRange(1, 8), default=1, show_default=True,
+              help="Under each front's daemon, in drills that have daemons.")
 @click.option("--keep", type=click.Path(file_okay=False), default=None,
               help="Leave plan, logs and records in this folder.")
-def drill(name, draw, seconds, nodes, fronts, policy, mover, trouble, out, keep) -> None:
+def drill(name, draw, seconds, nodes, fronts, policy, mover, trouble, out, keep, workers) -> None:
     """Play the bad day NAME on loopback and judge it from the sockets' records.
 
     Exit code 0: all rules kept and the drill's claims hold; 1: something broke; 2: the call was wrong.
@@ -85,7 +87,8 @@
         for given in filter(None, (policy, mover)):
             named(given)
         seed = 1 if draw is None else draw
-        day = Day(seconds, nodes, fronts, seed, draw is not None, policy, mover, trouble, keep)
+        day = Day(seconds, nodes, fronts, seed, draw is not None, policy, mover, trouble, keep,
+                  workers)
         began = time.monotonic()
         result = run(name, DRILLS[name], day, lambda text: console.print(text, style="dim", highlight=False))
     except ValueError as err:
--- a/curlewhall/drills/play.py
+++ b/curlewhall/drills/play.py
@@ -40,6 +40,7 @@
     mover: str | None = None
     troubles: tuple[str, ...] = ()
     keep: str | None = None  # a folder to leave plans, logs and records in
+    workers: int = 1  # under each front's daemon, in drills that have daemons
 
 
 class Result(NamedTuple):
@@ -77,7 +78,8 @@
         for row in broken:
             tally[row.rule] = tally.get(row.rule, 0) + 1
         report = {"drill": name, "seed": day.seed, "seconds": day.seconds, "nodes": day.nodes,
-                  "fronts": day.fronts, "policy": day.policy or "curlewhall.policy:Front",
+                  "fronts": day.fronts, "workers": day.workers,
+                  "policy": day.policy or "curlewhall.policy:Front",
                   "mover": day.mover or "curlewhall.moves:Mover", "troubles": script.told, **counts,
                   **(script.figures(rows) if script.figures else {}), "broken": tally, "claims": claims}
         return Result(report, broken)
--- a/curlewhall/drills/restart.py
+++ b/curlewhall/drills/restart.py
@@ -8,7 +8,7 @@
 
 from .play import Day, Script
 
-EVERY = (1.2, 2.2)  # seconds from one hand-over to the next
+EVERY = (1.2, 2.2)  # seconds from one hand-over to the next; a worker takes about one
 
 
 def figures(rows: list[Record]) -> dict[str, float]:
@@ -28,8 +28,8 @@
             "answer_longest_ms": took[-1] / 10 if took else 0.0}
 
 
-def prepare(plan: dict) -> None:
-    plan["daemon"] = 1
+def prepare(plan: dict, day: Day) -> None:
+    plan["daemon"] = day.workers
     plan["durability"] = "strict"
     for product in plan["products"]:
         product["life"] = [2 * seconds for seconds in product["life"]]
@@ -43,24 +43,24 @@
 
 
 def restart(rng: random.Random, plan: dict, day: Day) -> Script:
-    prepare(plan)
+    prepare(plan, day)
     plan["console"] = 8600
     steps, at = [], rng.uniform(2, 3)
     while at < day.seconds - 2:
         steps.append((at, "daemon", rng.choice(plan["fronts"])["name"], "restart"))
-        at += rng.uniform(*EVERY)
+        at += rng.uniform(*EVERY) * day.workers
     back = {"console_longest": (2.0, lambda counts, rows: figures(rows)["console_longest"])}
     return Script(steps, claims() | back, ["restart"], figures)
 
 
 def steady(rng: random.Random, plan: dict, day: Day) -> Script:
-    prepare(plan)
+    prepare(plan, day)
     return Script([], claims(), [], figures)
 
 
 def leave(rng: random.Random, plan: dict, day: Day) -> Script:
     """Fronts are stopped for good, one after the other, and come back later: peers take their plays."""
-    prepare(plan)
+    prepare(plan, day)
     steps, at = [], rng.uniform(3, 4)
     while at < day.seconds - 5:
         front = rng.choice(plan["fronts"])["name"]
--- a/curlewhall/rules/judge.py
+++ b/curlewhall/rules/judge.py
@@ -256,10 +256,13 @@
     if terms.look_back is None:
         return
     taken, further = defaultdict(list), defaultdict(list)
-    answered = {row["ask"]: row["status"] for row in by_what["answer"]}
+    answered = {row["ask"]: row for row in by_what["answer"]}
     for row in by_what["ask"]:
-        if answered.get(row["ask"], 0) not in (400, 404):
-            taken[row["front"]].append(row["t"])
+        answer = answered.get(row["ask"], {"status": 0, "play": ""})
+        if answer["status"] not in (400, 404):
+            # a viewer meets one of a front's workers, each an instance; the play's id tells which
+            name = answer["play"].rsplit("-", 2)
+            taken[name[0] if len(name) == 3 else row["front"]].append(row["t"])
     for what in ("setup", "refused"):
         for row in by_what[what]:
             if row["number"] > 0:
--- a/tests/rules/test_judge.py
+++ b/tests/rules/test_judge.py
@@ -108,6 +108,12 @@
     "as many as are borne": ("", [start(99 * S), told(99 * S, "serving", started=1), *rushed(16)]),
     "within the budget": ("", [ask(i, f"v{i}/0") for i in range(10)] + [setup(S, number=1, play="a"),
                                                                          setup(S, number=1, play="b")]),
+    "a worker's budget": ("", [row for i in range(10) for row in (
+        ask(i, f"v{i}/0"), answer(i + 20, ask=f"v{i}/0", play=f"a-w1-7f-{i}"))] + [
+        setup(S, number=1, play=f"a-w1-7f-{i}", front="a-w1") for i in range(2)]),
+    "another worker's budget": ("6", [row for i in range(10) for row in (
+        ask(i, f"v{i}/0"), answer(i + 20, ask=f"v{i}/0", play=f"a-w0-7f-{i}"))] + [
+        setup(S, number=1, play=f"a-w1-7f-{i}", front="a-w1") for i in range(2)]),
     "over the budget": ("6", [ask(i, f"v{i}/0") for i in range(10)] + [setup(S, number=1, play=f"q{i}")
                                                                         for i in range(3)]),
     "over the budget, long ago": ("", [setup(S, number=1, play="a"), setup(12 * S, number=1, play="b")]),
