--- a/curlewhall/recovery/store.py
+++ b/curlewhall/recovery/store.py
@@ -163,7 +163,8 @@
     together.
 
     The state is read and changed on the loop alone; files and their counts in the thread, one call at a time,
-    and on the loop only while none is under way. Every call of the disk is made by the thread.
+    and on the loop only while none is under way: every call of the disk but those of `open` and `close` is
+    made by the thread.
     """
 
     def __init__(self, files: Files, loop, timers, log) -> None:
