--- a/curlewhall/front/driver.py
+++ b/curlewhall/front/driver.py
@@ -8,12 +8,14 @@
 import time
 from collections import deque
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from curlewhall.interface import NodeRow
-from curlewhall.recovery.run import NoKeeper
-from curlewhall.wire.forms import Facts, Title
-from curlewhall.wire.server import Exchange
+from curlewhall.recovery.absent import NoKeeper
+
+if TYPE_CHECKING:  # a door that speaks no HTTP loads none of it
+    from curlewhall.wire.forms import Facts, Title
+    from curlewhall.wire.server import Exchange
 
 SECOND = 10_000
 PROVEN = ("full", "unreached", "not_sent")  # endings after which nothing can have run
@@ -37,7 +39,8 @@
                  "answered", "closed", "stash", "guard", "taken", "moved_from", "kept", "target",
                  "began")
 
-    def __init__(self, facts: Facts, title: Title, exchange: Exchange | None, limit: int, taken: int) -> None:
+    def __init__(self, facts: "Facts", title: "Title", exchange: "Exchange | None", limit: int,
+                 taken: int) -> None:
         self.facts, self.title, self.exchange, self.limit, self.taken = facts, title, exchange, limit, taken
         self.rung, self.number, self.offset, self.node = facts.rung, -1, 0, ""
         self.out: dict[int, Any] = {}  # allocations that are out and don't play yet
@@ -142,7 +145,7 @@
         self.hear("asked", facts.play, facts.product, facts.customer, facts.viewer, facts.title, held.limit,
                   held.title.first_place, held.title.places, facts.top, None, moved, again)
 
-    def resumed(self, facts: Facts, title: Title, node: str) -> None:
+    def resumed(self, facts: "Facts", title: "Title", node: str) -> None:
         """A play of an earlier process of this front, found at its node."""
         now = self.clock.now()
         held = Held(facts, title, None, now, now)
--- a/curlewhall/recovery/run.py
+++ b/curlewhall/recovery/run.py
@@ -3,6 +3,7 @@
 import time
 from collections.abc import Callable
 
+from .absent import NoKeeper
 from .decide import Doubts, Window, ran_for
 from .state import Further, Out, Over, Playing, State, Took
 from .store import Memory, Store
@@ -16,32 +17,6 @@
     return time.monotonic_ns() // 1_000_000
 
 
-class NoKeeper:
-    """A front without a state folder: nothing is kept, nothing waits."""
-
-    def may(self) -> bool:
-        return True
-
-    def sending(self, held, number: int, node: str, paid: bool, go: Callable[[bool], None]) -> bool:
-        return True
-
-    def playing(self, play: str, number: int) -> None: ...
-
-    def over(self, play: str) -> None: ...
-
-    def took(self) -> None: ...
-
-    def spoke(self, node: str, plays) -> None: ...
-
-    def doubtful(self, viewer: str, title: str, product: str) -> bool:
-        return False
-
-    def ran_for(self, play: str, number: int) -> int:
-        return 0
-
-    def close(self) -> None: ...
-
-
 class Keeper(NoKeeper):
     """Writes entries to a store. `strict`: a paid or further allocation goes out only once it is on disk.
 
--- /dev/null
+++ b/curlewhall/relay/absent.py
@@ -0,0 +1,63 @@
+"""What this door does without: the mover's place is empty, and log lines for each message are not written."""
+
+import sys
+import time
+import traceback
+
+
+class NoMoves:
+    """A front that moves no play."""
+
+    between = ()
+
+    def playing(self, held) -> None: ...
+
+    def ended(self, play: str) -> None: ...
+
+    def report(self, node: str, kind: str, value: float) -> None: ...
+
+    def declined(self, held) -> bool:
+        return False
+
+    def lost(self, held, what: str) -> None: ...
+
+
+class NoPeers:
+    """A front whose platform gives it no way to its peers."""
+
+    def send(self, peer: int | None, body: bytes) -> None: ...
+
+
+class Log:
+    """Lines on standard error for what is out of order, at most `RATE` a second; the rest are counted."""
+
+    RATE = 5  # enough to see what goes on; a bad viewer must not fill a disk or take the core
+
+    def __init__(self, out=None) -> None:
+        self.out, self.second, self.said, self.left_out = out or sys.stderr, 0, 0, 0
+
+    def info(self, text: str, **facts) -> None:
+        """Nothing: the driver tells each step of each play."""
+
+    def warning(self, text: str, **facts) -> None:
+        second = int(time.monotonic())
+        if second != self.second:
+            if self.left_out:
+                print(f"{self.left_out} more lines left out", file=self.out, flush=True)
+            self.second, self.said, self.left_out = second, 0, 0
+        self.said += 1
+        if self.said > self.RATE:
+            self.left_out += 1
+            return
+        more = " ".join(f"{name}={value}" for name, value in facts.items())
+        print(f"{text} {more}".rstrip(), file=self.out, flush=True)
+
+    error = warning
+
+    def say(self, text: str, **facts) -> None:
+        """What happens once or twice in a process's life."""
+        more = " ".join(f"{name}={value}" for name, value in facts.items())
+        print(f"{text} {more}".rstrip(), file=self.out, flush=True)
+
+    def exception(self, text: str, **facts) -> None:
+        self.warning(text, **facts, fault=" | ".join(traceback.format_exc().strip().splitlines()[-6:]))
--- /dev/null
+++ b/curlewhall/relay/card.py
@@ -0,0 +1,68 @@
+"""What the platform tells a front at its start: variables, the configuration's JSON, the rate card."""
+
+import json
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+
+from curlewhall.words import card_of
+
+RESERVE = 24  # descriptors for the loop, the listener, the channel, the standard streams and what is closing
+NODES = 0.4  # of the rest; usual viewers hold a third of the limit at most, bad ones what they get
+
+
+class Bad(Exception):
+    """The configuration can't be used; one plain line says why."""
+
+
+class Given(NamedTuple):
+    """A checked configuration. `viewers` and `nodes`: the most connections of each side."""
+
+    name: str
+    address: tuple[str, int]
+    channel: str
+    seed: int
+    card: dict[str, Any]
+    known: dict[str, Any]
+    viewers: int
+    nodes: int
+
+
+def address_of(text: Any, what: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise Bad(f"{what} is no address with a port: {text!r}")
+    return host, int(port)
+
+
+def read(variables: Mapping[str, str]) -> Given:
+    """The configuration that the variables name; `Bad` for whatever is missing or wrong."""
+    path = variables.get("RELAY_CONFIG")
+    if not path:
+        raise Bad("RELAY_CONFIG is not set")
+    try:
+        with open(path, encoding="utf-8") as file:
+            config = json.load(file)
+    except OSError as err:
+        raise Bad(f"the configuration can't be read: {err.strerror}: {path}") from None
+    except ValueError as err:
+        raise Bad(f"the configuration is not JSON: {err}") from None
+    if not isinstance(config, dict):
+        raise Bad("the configuration is no JSON object")
+    settings, known = config.get("settings"), config.get("known", {})
+    if not isinstance(settings, dict):
+        raise Bad("the configuration has no settings")
+    if not isinstance(known, dict) or not isinstance(known.get("cmds", []), list):
+        raise Bad("known is not of its form")
+    limits = config.get("limits") if isinstance(config.get("limits"), dict) else {}
+    sockets = limits.get("sockets", 1024)
+    if not isinstance(sockets, int) or sockets < 64:
+        raise Bad(f"limits.sockets must be a number of 64 or more, not {sockets!r}")
+    address_of(config.get("channel"), "channel")
+    try:
+        seed = int(str(config.get("seed", "0")), 16)
+    except ValueError:
+        raise Bad(f"seed is not hexadecimal: {config['seed']!r}") from None
+    nodes = int((sockets - RESERVE) * NODES)
+    return Given(variables.get("RELAY_NAME") or str(config.get("name", "")),
+                 address_of(variables.get("RELAY_LISTEN") or config.get("listen"), "RELAY_LISTEN"),
+                 config["channel"], seed, card_of(settings), known, sockets - RESERVE - nodes, nodes)
--- /dev/null
+++ b/curlewhall/relay/channel.py
@@ -0,0 +1,190 @@
+"""The command channel: the list as the configuration knows it, then server-sent events by number.
+
+`Events` takes the stream apart without I/O; `Channel` owns the one connection and asks again when it breaks
+off or falls silent.
+"""
+
+import json
+import time
+from typing import Any
+
+from curlewhall.front.driver import Driver
+from curlewhall.interface import NodeRow
+from curlewhall.wire.client import Pool, Reply
+from curlewhall.wire.http import request_bytes
+
+SILENT = 1.6  # seconds; a comment comes each second, and a stop counts as told after 4
+PAUSES = (0.05, 0.1, 0.2, 0.4)  # before it is asked again; a break counts as told after 2 s
+MOST = 4 << 20  # bytes of one event: a whole list of thousands of nodes is half of that
+STATES = {"ready": "serving", "draining": "draining", "gone": "gone"}
+
+
+class Malformed(Exception):
+    """What came is not of its form."""
+
+
+class Events:
+    """Collects (number, data) of whole events from fed bytes (WHATWG HTML, server-sent events)."""
+
+    __slots__ = ("data", "number", "lines", "size")
+
+    def __init__(self) -> None:
+        self.data, self.number, self.lines, self.size = bytearray(), "", [], 0
+
+    def feed(self, piece: bytes) -> list[tuple[int, str]]:
+        """Whole events; `Malformed` for what can't be one, and nothing more is to be fed then."""
+        found = []
+        self.data += piece
+        *lines, rest = self.data.split(b"\n")
+        self.data = bytearray(rest)
+        self.size += len(piece)
+        if self.size > MOST:
+            raise Malformed("an event too long")
+        for raw in lines:
+            line = bytes(raw).removesuffix(b"\r")
+            if not line:
+                if self.lines:
+                    if not self.number.isdigit():
+                        raise Malformed("an event without a number")
+                    found.append((int(self.number), "\n".join(self.lines)))
+                self.lines, self.number, self.size = [], "", len(self.data)
+            elif not line.startswith(b":"):
+                name, _, value = line.decode("utf-8", "replace").partition(":")
+                if name == "id":
+                    self.number = value.removeprefix(" ")
+                elif name == "data":
+                    self.lines.append(value.removeprefix(" "))
+            elif not self.lines:
+                self.size = len(self.data)
+        return found
+
+
+def rows_of(members: list, offset: int) -> tuple[list[tuple[NodeRow, tuple[str, int]]], int]:
+    """Rows and addresses of a list, and how many of its lines can't be read.
+
+    `offset`: what turns tenths of a millisecond since 1970 into the module's time; one for all lists, so that
+    a start told again is the same start.
+    """
+    rows, wrong = [], 0
+    for member in members:
+        try:
+            host, _, port = member["host_port"].rpartition(":")
+            since, weight = member.get("up_since_ms") or 0, float(member.get("size", 1))
+            row = NodeRow(str(member["id"]), int(member["cell"]), str(member.get("locality", "")),
+                          str(member.get("flavor", "")), STATES[member["phase"]], weight,
+                          max(1, int(since * 10) + offset) if since > 0 else 0)
+            if not host or not 0 < int(port) < 65536 or not 0 <= weight < 1e9 or row.place < 0:
+                raise ValueError(member["host_port"])
+            rows.append((row, (host, int(port))))
+        except (KeyError, TypeError, ValueError, AttributeError, OverflowError):
+            wrong += 1
+    return rows, wrong
+
+
+class Channel:
+    """Follows the channel at one address; `point` sends it to another."""
+
+    def __init__(self, driver: Driver, loop, timers, address: str, log) -> None:
+        self.driver, self.loop, self.timers, self.log = driver, loop, timers, log
+        self.offset = driver.clock.now() - time.time_ns() // 100_000
+        self.cursor, self.tries, self.address = 0, 0, address
+        self.pool: Pool | None = None
+        self.events, self.stream, self.silence, self.pause = Events(), None, None, None
+        self.skipped, self.failing, self.asked, self.closed = False, False, 0, False
+
+    def begin(self, known: dict[str, Any]) -> None:
+        """Take what the configuration knows."""
+        for command in known.get("cmds", ()):
+            self.command(command, "old_copy")
+        self.cursor = int(known.get("cursor", 0))
+
+    def command(self, command: dict, how: str = "whole") -> None:
+        nodes = command.get("nodes") if isinstance(command, dict) else None
+        if not isinstance(nodes, dict) or not isinstance(nodes.get("members"), list):
+            return  # of another kind than the list of nodes
+        rows, wrong = rows_of(nodes["members"], self.offset)
+        if wrong:
+            self.log.warning("lines of the list that can't be read", lines=wrong)
+        whole = bool(nodes.get("complete")) and not wrong
+        self.driver.nodes.listed(rows, whole)  # first: the module may allocate at once
+        self.driver.listed(how if whole else "changes", [row for row, _ in rows])
+
+    def point(self, address: str) -> None:
+        """Ask here from now on; the numbers go on."""
+        if address != self.address or self.pool is None:
+            self.address = address
+            self.shut()
+            self.subscribe()
+
+    def subscribe(self) -> None:
+        if self.closed:
+            return
+        self.pause = None
+        if self.pool is None:
+            host, _, port = self.address.rpartition(":")
+            self.pool = Pool(self.loop, self.timers, host, int(port), connect=0.5)
+        self.events = Events()
+        data = request_bytes("GET", "/cmd/next", self.pool.host, last_event_id=str(self.cursor),
+                             accept="text/event-stream")
+        pool = self.pool
+        self.stream = pool.ask(data, 86_400.0, lambda reply: self.ended(pool, reply), tell=self.told)
+        self.asked += 1
+        self.listen()
+
+    def listen(self) -> None:
+        if self.silence is not None:
+            self.silence.cancel()
+        self.silence = self.timers.after(SILENT, self.stream.withdraw)
+
+    def again(self) -> None:
+        """Break the stream off, from outside of its own call."""
+        self.timers.after(0, self.stream.withdraw)
+
+    def told(self, message, piece: bytes) -> None:
+        if message.status != 200:
+            return
+        self.listen()
+        try:
+            for number, data in self.events.feed(piece):
+                self.event(number, data)
+        except (Malformed, ValueError) as err:
+            self.log.warning("the channel can't be read", why=err)
+            self.again()
+
+    def event(self, number: int, data: str) -> None:
+        self.tries = 0
+        if number <= self.cursor:
+            return  # told twice
+        command = json.loads(data)
+        if number > self.cursor + 1 and not self.skipped:
+            # Danger: a change built on one never seen. Asked for again once; what is missing then is lost.
+            self.log.warning("a gap in the channel", have=self.cursor, came=number)
+            self.skipped = True
+            raise Malformed("a gap")
+        self.cursor, self.skipped, self.failing = number, False, False
+        self.command(command)
+
+    def ended(self, pool: Pool, reply: Reply) -> None:
+        if pool is not self.pool or self.closed:
+            return
+        if self.silence is not None:
+            self.silence.cancel()
+        if self.tries >= len(PAUSES) and not self.failing:
+            self.failing = True
+            self.driver.listed("failed", [])
+            self.log.warning("the channel is out of reach", how=reply.ending)
+        pause = PAUSES[min(self.tries, len(PAUSES) - 1)]
+        self.tries += 1
+        self.pause = self.timers.after(pause, self.subscribe)
+
+    def shut(self) -> None:
+        for timer in (self.silence, self.pause):
+            if timer is not None:
+                timer.cancel()
+        pool, self.pool = self.pool, None
+        if pool is not None:
+            pool.close()
+
+    def close(self) -> None:
+        self.closed = True
+        self.shut()
--- /dev/null
+++ b/curlewhall/relay/serve.py
@@ -0,0 +1,101 @@
+"""One front on the platform: started, told of a new configuration (SIGHUP), asked to leave (SIGTERM)."""
+
+import asyncio
+import gc
+import os
+import signal
+import sys
+
+import uvloop
+
+from curlewhall.front.driver import Clock, Driver
+from curlewhall.policy import Front
+from curlewhall.wire.server import listen
+from curlewhall.wire.timers import Timers
+
+from . import card
+from .absent import Log, NoMoves, NoPeers
+from .channel import Channel
+from .nodes import Nodes
+from .viewers import Viewers
+
+LINGER = 0.75  # seconds after SIGTERM in which set-ups still come: 0.4 on new connections, 0.2 on open ones
+
+
+class Relay:
+    """All parts of one front, within a running loop. `OSError` where its address is taken."""
+
+    def __init__(self, given: card.Given, log: Log) -> None:
+        self.log, self.loop = log, asyncio.get_running_loop()
+        self.timers, self.over = Timers(self.loop), asyncio.Event()
+        try:
+            self.driver = Driver(Front, given.seed, given.card, self.timers, log, Clock())
+            self.viewers = Viewers(self.driver, self.loop, self.timers, given.viewers, log)
+            self.nodes = Nodes(self.driver, self.loop, self.timers, given.nodes, log, given.seed)
+        except (KeyError, IndexError, TypeError, ValueError, AttributeError) as err:
+            raise card.Bad(f"the settings can't be used: {type(err).__name__}: {err}") from None
+        self.driver.viewers, self.driver.nodes = self.viewers, self.nodes
+        self.driver.peers, self.driver.moves = NoPeers(), NoMoves()
+        self.channel = Channel(self.driver, self.loop, self.timers, given.channel, log)
+        listener = listen(*given.address)
+        self.channel.begin(given.known)
+        self.channel.subscribe()
+        self.viewers.start(listener)  # from here on a test is passed: the module is born and knows the list
+
+    def reload(self) -> None:
+        """The channel may have moved; nothing else of the configuration changes under plays."""
+        try:
+            given = card.read(os.environ)
+        except card.Bad as err:
+            self.log.say(f"the old configuration is kept: {err}")
+            return
+        self.log.say("configuration read again", channel=given.channel)
+        self.channel.point(given.channel)
+
+    def stop(self) -> None:
+        """Take what still comes, answer what is owed, then leave."""
+        if self.viewers.ready:
+            self.viewers.ready = False
+            self.log.say("leaving", standing=len(self.driver.plays))
+            self.timers.after(LINGER, self.leave)
+
+    def leave(self) -> None:
+        if any(not held.answered for held in self.driver.plays.values()):
+            self.timers.after(0.02, self.leave)
+        else:
+            self.timers.after(0.05, self.over.set)  # the last answers are on their way
+
+    def close(self) -> None:
+        self.channel.close()
+        self.nodes.close_all()
+        self.viewers.close()
+
+
+async def until_told(given: card.Given, log: Log) -> None:
+    relay = Relay(given, log)
+    relay.loop.add_signal_handler(signal.SIGHUP, relay.reload)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        relay.loop.add_signal_handler(number, relay.stop)
+    log.say("serving", name=given.name, address=f"{given.address[0]}:{given.address[1]}",
+            nodes=len(relay.nodes.nodes))
+    del given
+    # Danger: full rounds of the collector stop the loop. What lives as long as the process is left out.
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(5_000, 20, 20)
+    await relay.over.wait()
+    relay.close()
+
+
+def main() -> int:
+    """Serve until SIGTERM. 1, with one line on standard error, where the configuration can't be used."""
+    try:
+        given = card.read(os.environ)
+        uvloop.run(until_told(given, Log()))
+    except card.Bad as err:
+        print(f"can't start: {err}", file=sys.stderr)
+        return 1
+    except OSError as err:
+        print(f"can't start: {err}", file=sys.stderr)
+        return 1
+    return 0
--- a/curlewhall/simhost/host.py
+++ b/curlewhall/simhost/host.py
@@ -6,34 +6,22 @@
 import base64
 import binascii
 import json
-import math
 from collections.abc import Callable, Iterable
 from typing import Any, TextIO
 
 from curlewhall.interface import NodeRow
+from curlewhall.words import NOTES, card_of, report_of, tenths
 
 ENDINGS = {"GOOD": "ok", "BAD": "error", "FULL": "full", "LATE": "late", "NOCONN": "unreached",
            "RST": "broken", "CXL": "withdrawn", "NOP": "not_sent"}
 STATES = {"SERVING": "serving", "DRAINING": "draining", "DELETED": "gone"}
 LISTINGS = {"patch": "changes", "whole": "whole", "stale_copy": "old_copy", "broken": "failed"}
-NOTES = {1: "delivered", 2: "rung", 3: "link_asked", 4: "uplink_asked"}
-REPORTED = {"cpu": "link_share", "x0": "link_asked", "x1": "uplink_asked", "active": "streams",
-            "waiting": "queue", "avg_ms": "setup_time", "rps": "setup_rate", "err_rps": "error_rate"}
-CARD_WORDS = {"lanes": "products", "worth": "importance", "target": "first_frame_target",
-              "give_up": "time_limit", "n_instances": "fronts", "self_index": "own_index",
-              "max_attempts": "max_allocations", "spare_attempts": "spare_allocations",
-              "invariants": "rules"}
 
 
 class Malformed(Exception):
     """The input breaks the wire's form."""
 
 
-def tenths(text: str | float) -> int:
-    """Milliseconds to whole tenths, rounded down, so that no time limit grows."""
-    return math.floor(float(text) * 10 + 1e-6)
-
-
 def millis(span: int) -> str:
     return f"{span // 10}.{span % 10}" if span >= 0 else f"-{millis(-span)}"
 
@@ -44,27 +32,6 @@
     return text == "1"
 
 
-def renamed(value: Any) -> Any:
-    """A settings value with its keys in the project's words, its times in tenths."""
-    if isinstance(value, dict):
-        fresh = {}
-        for key, inner in value.items():
-            name = key.replace("-", "_")
-            if name.endswith("_ms") and isinstance(inner, int | float):
-                name, inner = name[:-3], tenths(inner)
-            fresh[CARD_WORDS.get(name, name)] = renamed(inner)
-        return fresh
-    return [renamed(inner) for inner in value] if isinstance(value, list) else value
-
-
-def flat(value: dict, head: str = "") -> dict[str, Any]:
-    """Nested maps as one map of dotted names."""
-    card = {}
-    for key, inner in value.items():
-        card.update(flat(inner, f"{head}{key}.") if isinstance(inner, dict) else {head + key: inner})
-    return card
-
-
 def fields_of(line: str) -> tuple[str, dict[str, str]]:
     """The tag of a line and its name=value pairs; the settings take the rest of their line."""
     tag, _, rest = line.partition(" ")
@@ -81,15 +48,12 @@
     return tag, pairs
 
 
-def report_of(pairs: dict[str, str]) -> dict[str, float]:
-    report = {}
-    for part in pairs.get("report", "").split(","):
+def parted(text: str) -> Iterable[tuple[str, str]]:
+    """The name:value pairs of a load report."""
+    for part in text.split(","):
         name, colon, value = part.partition(":")
-        if colon and name in REPORTED:
-            figure = float(value)
-            if math.isfinite(figure):
-                report[REPORTED[name]] = figure
-    return report
+        if colon:
+            yield name, value
 
 
 def ending_of(code: str) -> str:
@@ -174,7 +138,7 @@
         at, now = pairs["i"], self.now
         if tag == "born":
             seed, card = int(pairs["rng-seed"]), json.loads(pairs["config"])
-            self.call(at, lambda: self.fronts.update({at: self.make(now, seed, flat(renamed(card)))}) or ())
+            self.call(at, lambda: self.fronts.update({at: self.make(now, seed, card_of(card))}) or ())
             return
         if tag == "power_off":
             self.fronts.pop(at, None)
@@ -202,7 +166,7 @@
         elif tag == "answer":
             self.call(at, front.ended, now, pairs["ticket"], int(pairs["trial"]), pairs["node"],
                       ending_of(pairs["rc"]), flag(pairs.get("final", "0")),
-                      tenths(pairs.get("lag-ms", 0)), report_of(pairs))
+                      tenths(pairs.get("lag-ms", 0)), report_of(parted(pairs.get("report", ""))))
         elif tag == "progress":
             kind = NOTES.get(int(pairs["topic"]))
             if kind:
@@ -210,7 +174,7 @@
                           float(pairs["amount"]))
         elif tag == "probe_done":
             self.call(at, front.probed, now, pairs["node"], ending_of(pairs["rc"]),
-                      tenths(pairs.get("lag-ms", 0)), report_of(pairs))
+                      tenths(pairs.get("lag-ms", 0)), report_of(parted(pairs.get("report", ""))))
         elif tag == "message":
             self.call(at, front.told, now, int(pairs["by"]), octets(pairs.get("octets", "-")))
         elif tag == "bell":
--- /dev/null
+++ b/curlewhall/words.py
@@ -0,0 +1,58 @@
+"""The platform's words and units turned into the project's; the simulator's wire and the relay share them.
+
+Only names and units change here. Nothing else of the program is needed to load this.
+"""
+
+import math
+from collections.abc import Iterable
+from typing import Any
+
+NOTES = {1: "delivered", 2: "rung", 3: "link_asked", 4: "uplink_asked"}
+REPORTED = {"cpu": "link_share", "x0": "link_asked", "x1": "uplink_asked", "active": "streams",
+            "waiting": "queue", "avg_ms": "setup_time", "rps": "setup_rate", "err_rps": "error_rate"}
+CARD_WORDS = {"lanes": "products", "worth": "importance", "target": "first_frame_target",
+              "give_up": "time_limit", "n_instances": "fronts", "self_index": "own_index",
+              "max_attempts": "max_allocations", "spare_attempts": "spare_allocations",
+              "invariants": "rules"}
+
+
+def tenths(text: str | float) -> int:
+    """Milliseconds to whole tenths, rounded down, so that no time limit grows."""
+    return math.floor(float(text) * 10 + 1e-6)
+
+
+def renamed(value: Any) -> Any:
+    """A settings value with its keys in the project's words, its times in tenths."""
+    if isinstance(value, dict):
+        fresh = {}
+        for key, inner in value.items():
+            name = key.replace("-", "_")
+            if name.endswith("_ms") and isinstance(inner, int | float):
+                name, inner = name[:-3], tenths(inner)
+            fresh[CARD_WORDS.get(name, name)] = renamed(inner)
+        return fresh
+    return [renamed(inner) for inner in value] if isinstance(value, list) else value
+
+
+def flat(value: dict, head: str = "") -> dict[str, Any]:
+    """Nested maps as one map of dotted names."""
+    card = {}
+    for key, inner in value.items():
+        card.update(flat(inner, f"{head}{key}.") if isinstance(inner, dict) else {head + key: inner})
+    return card
+
+
+def card_of(settings: dict) -> dict[str, Any]:
+    """The rate card of the platform's settings."""
+    return flat(renamed(settings))
+
+
+def report_of(pairs: Iterable[tuple[str, str]]) -> dict[str, float]:
+    """A load report in our words. A name that is not known and a figure that is no number are left out."""
+    report = {}
+    for name, value in pairs:
+        if name in REPORTED:
+            figure = float(value)
+            if math.isfinite(figure):
+                report[REPORTED[name]] = figure
+    return report
--- a/tests/test_simhost.py
+++ b/tests/test_simhost.py
@@ -7,7 +7,8 @@
 from conftest import card
 
 from curlewhall.policy import Front
-from curlewhall.simhost.host import Host, Malformed, millis, tenths
+from curlewhall.simhost.host import Host, Malformed, millis
+from curlewhall.words import tenths
 
 CONFIG = json.dumps({
     "lanes": [{"name": name, "worth": worth, "idempotency": how, "target-ms": 1000.0, "give-up-ms": 3000.0}
