--- a/curlewhall/relay/nodes.py
+++ b/curlewhall/relay/nodes.py
@@ -302,7 +302,8 @@
         left = ask.span - (time.monotonic() - ask.began)
         facts = held.facts
         data = rtsp.request("SETUP", facts.title, facts.play, 1, held.exchange.description,
-                            Subject=facts.product, X_Patience=str(max(1, int(left * 1000))), X_Rung=str(held.rung))
+                            Subject=facts.product, X_Patience=str(max(1, int(left * 1000))),
+                            X_Rung=str(held.rung))
         road.given.pop(facts.play, None)
         road.used = time.monotonic()
         ask.sent = road.line.send(data)
