--- a/curlewhall/cli/main.py
+++ b/curlewhall/cli/main.py
@@ -43,6 +43,17 @@
         sys.exit(1)
 
 
+@main.command()
+def relay() -> None:
+    """Run a front on the platform in the foreground, configured by RELAY_CONFIG, until SIGTERM.
+
+    The same as `python -m curlewhall.relay`, which loads less.
+    """
+    from curlewhall.relay.serve import main as serve_relay
+
+    sys.exit(serve_relay())
+
+
 @main.command()
 @click.argument("file", type=click.Path(dir_okay=False))
 def check(file: str) -> None:
