An end that comes with its answer is an answer and an end, not a broken node

A trace of raw messages showed TEARDOWN, cause 16, with a fresh description and no 200 before it, 20 to 110 ms after SETUP, for viewers who had come again often: sessions with next to nothing left. Each was tried three times, spent the budget, failed paid plays and marked sound nodes as broken, which paces them as cold. Ruled out: resets of connections (none counted), 504 (none came), a copy of the viewer's own description (bodies differ at each node). At fault: relay/nodes.py take(), any TEARDOWN before the answer was 'broken'.

--- a/curlewhall/relay/nodes.py
+++ b/curlewhall/relay/nodes.py
@@ -404,7 +404,13 @@
             road.line.send(rtsp.response(200, "OK", message))
             ask, cause = road.asks.get(play), message.cause()
             if ask is not None and ask.sent:
-                ask.settle("broken", self.report(message))
+                if cause == 16 and message.body:
+                    # so short that its end comes with its answer; the play ran, and the node is sound
+                    self.answered(road, message._replace(status=200))
+                    if play in node.standing:
+                        self.over(node, play, "ok", cause)
+                else:
+                    ask.settle("broken", self.report(message))
             elif play in node.standing:
                 self.over(node, play, ENDS.get(cause, "broken"), cause or 41, cause != 31)
         elif message.method == "ANNOUNCE":
--- a/curlewhall/standins/platform.py
+++ b/curlewhall/standins/platform.py
@@ -35,8 +35,8 @@
 
 
 class Node:
-    """A playout node. `does` says what becomes of set-ups: serve, silent, break, twice, ahead, the names of
-    REFUSE and SPOILT, or a list of such names that is used up, its last for good.
+    """A playout node. `does` says what becomes of set-ups: serve, short, silent, break, twice, ahead, the names
+    of REFUSE and SPOILT, or a list of such names that is used up, its last for good.
     """
 
     def __init__(self, platform: "Platform", name: str, does="serve") -> None:
@@ -109,6 +109,11 @@
             self.out.pop(session, None)
             self.standing[session] = writer
             self.say("answered", session, made)
+        elif what == "short":  # so short that its end comes with its answer
+            writer.write(rtsp.request("TEARDOWN", "x", session, 2, made, Reason="cause=16"))
+            self.out.pop(session, None)
+            self.say("answered", session, made)
+            self.say("ended", session, 16)
         elif what in REFUSE:
             writer.write(self.answer(REFUSE[what], session))
             self.out.pop(session, None)
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -77,6 +77,20 @@
         assert set(viewer.said) == set(asked)
 
 
+@looped
+async def test_an_end_that_comes_with_its_answer(tmp_path):
+    """A session with next to nothing left to play: served and over, and no sign of a node in trouble."""
+    async with town(tmp_path, does="short") as place:
+        viewer = await place.platform.viewer(place.port)
+        session = viewer.ask(product="paid")
+        answer, end = await viewer.hear(session), await viewer.hear(session, 2)
+        ((node, _, _, body),) = place.platform.of("answered")
+        assert (answer.kind, answer.fields[DESCRIPTION], cause(end)) == (ANSWER, body, 16)
+        found = place.relay.driver.module.nodes[node]
+        assert not found.broken and not found.doubt and not place.relay.driver.plays
+        assert not place.platform.broken() and not place.platform.standing()
+
+
 @looped
 async def test_late_is_given_up_before_the_next_and_cut_if_it_crosses(tmp_path):
     async with town(tmp_path, does=["silent", "serve"], nodes=("n0",)) as place:
