--- a/curlewhall/standins/platform.py
+++ b/curlewhall/standins/platform.py
@@ -35,7 +35,7 @@
 
 
 class Node:
-    """A playout node. `does` says what becomes of set-ups: serve, short, silent, break, twice, ahead, the names
+    """A playout node. `does` says what becomes of set-ups: serve, short, silent, break, twice, ahead, names
     of REFUSE and SPOILT, or a list of such names that is used up, its last for good.
     """
 
