Plays leave nodes that drain where a price for moves is named; the viewer is told first

The module's move had never been carried out by the relay: probe showed 77 calls 'over, and not told' since the node got its TEARDOWN before the viewer its MOVE, cut the session and so owed a release. At fault: driver.move's order with relay/nodes.py end().

--- a/curlewhall/relay/nodes.py
+++ b/curlewhall/relay/nodes.py
@@ -19,6 +19,7 @@
 PAUSES = (0.1, 0.5, 1.0)  # before it is tried again
 WAIT = 0.5  # seconds for last words of a node that the list calls gone
 LOOK = 0.5
+MOVED = 0.5  # seconds for the end of a session that was moved, which comes from its node by itself
 EACH = 8  # connections to one node at most; set-ups out at one node at a time are fewer by far
 UNSAID = 64  # messages kept for a node that is out of reach
 NOTES = {"got": "delivered", "level": "rung", "port": "link_asked", "spine": "uplink_asked"}
@@ -87,6 +88,7 @@
         self.id, self.row, self.address = row.node, row, address
         self.roads: list[Road] = []
         self.standing: dict[str, int] = {}  # session -> when it began, on the module's clock
+        self.moved: dict[str, object] = {}  # session moved -> when it is cut, if nothing was heard of its end
         self.unsaid: list[bytes] = []
         self.missed, self.pause, self.heard = 0, None, time.monotonic()
 
@@ -332,7 +334,17 @@
 
     def end(self, name: str, play: str, number: int, why: str) -> None:
         """The driver ends what may run; what was open was given up when its ask ended."""
-        self.release(name, play, CUT)
+        node = self.nodes.get(name)
+        if why == "moved" and node is not None and node.standing.pop(play, None) is not None:
+            # Danger: a node told first cuts the session; its viewer is owed a release in place of the move.
+            node.moved[play] = self.timers.after(MOVED, self.unmoved, node, play)
+        else:
+            self.release(name, play, CUT)
+
+    def unmoved(self, node: Node, play: str) -> None:
+        """The platform has not ended a moved session by itself."""
+        del node.moved[play]
+        self.cut(node, play)
 
     def set_rung(self, name: str, play: str, number: int, rung: int) -> None:
         node = self.nodes.get(name)
@@ -411,6 +423,8 @@
                         self.over(node, play, "ok", cause)
                 else:
                     ask.settle("broken", self.report(message))
+            elif play in node.moved:
+                node.moved.pop(play).cancel()
             elif play in node.standing:
                 self.over(node, play, ENDS.get(cause, "broken"), cause or 41, cause != 31)
         elif message.method == "ANNOUNCE":
--- a/curlewhall/standins/platform.py
+++ b/curlewhall/standins/platform.py
@@ -233,6 +233,8 @@
                     for message in self.codec.feed(piece):
                         self.said.setdefault(message.session, []).append(message)
                         self.platform.saw("viewer", message.kind, message.session, message.fields)
+                        if message.kind == messages.MOVE:
+                            self.platform.moved(message.session)
                     self.change.notify_all()
         except ConnectionError:
             pass
@@ -283,7 +285,7 @@
     def __init__(self) -> None:
         self.nodes: dict[str, Node] = {}
         self.channel, self.seen, self.viewers = Channel(), [], []
-        self.names = itertools.count(1)
+        self.names, self.ends_moved = itertools.count(1), True
         self.changed = asyncio.Condition()
 
     def name(self) -> str:
@@ -305,6 +307,12 @@
                 "flavor": "box", "cell": list(self.nodes).index(name) % 4, "phase": state, "size": 1,
                 "up_since_ms": since} | more
 
+    def moved(self, session: str) -> None:
+        """A viewer was told to come again: its session ends at its node, unless that was told before."""
+        for node in self.nodes.values():
+            if self.ends_moved and session in node.standing:
+                node.end(session, 31)
+
     async def viewer(self, port: int) -> Viewer:
         viewer = Viewer(self, *await asyncio.open_connection("127.0.0.1", port))
         self.viewers.append(viewer)
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -211,6 +211,28 @@
         assert cause(await viewer.hear(session)) == 16 and len(viewer.said[session]) == 1
 
 
+@pytest.mark.parametrize("ends", [True, False])
+@looped
+async def test_a_drain_moves_plays_where_the_platform_names_a_price(tmp_path, ends):
+    """The viewer is told first; the platform ends the session, or it is cut a little later."""
+    async with town(tmp_path, nodes=("n0", "n1"), costs={"moves": 0.05}) as place:
+        platform, viewer = place.platform, await place.platform.viewer(place.port)
+        platform.ends_moved = ends
+        session = viewer.ask()
+        await viewer.hear(session)
+        ((_, old),) = platform.standing().items()
+        platform.channel.tell(2, [platform.member(old, "draining")])
+        assert (await viewer.hear(session, 2)).kind == messages.MOVE
+        await place.until(lambda: platform.of("ended" if ends else "cut", session))
+        again = viewer.ask(viewer=session, again=1)
+        assert (await viewer.hear(again)).kind == ANSWER
+        ((found, new),) = platform.standing().items()
+        assert (found, new != old) == (again, True) and not platform.broken()
+        assert not viewer.of(session, (RELEASE,)) and place.relay.driver.plays.keys() == {again}
+        await place.until(lambda: not any(n.moved for n in place.relay.nodes.nodes.values()))
+        assert len(platform.of("cut", session)) == (not ends)
+
+
 @looped
 async def test_a_node_that_dies_and_one_that_was_only_reset(tmp_path):
     async with town(tmp_path, nodes=("n0", "n1")) as place:
