--- a/curlewhall/standins/platform.py
+++ b/curlewhall/standins/platform.py
@@ -43,6 +43,7 @@
         self.platform, self.name, self.does = platform, name, does
         self.server, self.port, self.lines = None, 0, {}
         self.standing: dict[str, object] = {}
+        self.untold: dict[str, int] = {}  # ends that nobody has heard: told again on the next connection
         self.out: dict[str, object] = {}
         self.loads, self.report = "serve", "cpu:0.25;x1:0.5"
 
@@ -62,6 +63,8 @@
         codec = rtsp.Reader()
         self.lines[writer] = None
         self.say("connected", "")
+        for session, cause in self.untold.items():
+            writer.write(release(session, cause))
         try:
             while piece := await reader.read(65536):
                 for message in codec.feed(piece):
@@ -88,6 +91,8 @@
             self.out.pop(session, None)
             self.standing.pop(session, None)
             writer.write(rtsp.response(200, "OK", message))
+        elif not message.method:
+            self.untold.pop(session, None)
         elif message.method == "OPTIONS":
             self.say("asked for load", session)
             if self.loads == "serve":
@@ -137,7 +142,7 @@
 
     def end(self, session: str, cause: int) -> None:
         """A session comes to its end here."""
-        line = self.standing.pop(session)
+        line, self.untold[session] = self.standing.pop(session), cause
         self.say("ended", session, cause)
         for writer in [line] if line in self.lines else list(self.lines)[:1]:
             writer.write(release(session, cause))
