A moved session that was over before is released; a vanished machine's sessions end

Ruled out: a connection that was gone, a full queue (both logged with each MOVE). At fault: relay/nodes.py unmoved() cut at the node and told nobody, viewers.moved() forgot the session. Also: a machine that vanishes leaves an open silent connection, and keep() waited for it to close before it believed the failed attempts. Found by writing its test: 11 s before the mend, when the old connection was closed as idle, 2.7 s after it; 8 s are allowed.

--- a/curlewhall/relay/nodes.py
+++ b/curlewhall/relay/nodes.py
@@ -239,13 +239,15 @@
 
     def keep(self, node: Node) -> None:
         """Where sessions stand the node needs a way to say that one is over."""
-        if self.closed or not node.standing or node.roads or self.nodes.get(node.id) is not node:
+        if self.closed or not node.standing or self.nodes.get(node.id) is not node:
             return
-        if node.missed >= SURE:
+        # Danger: a machine that vanished leaves a connection that stays open and says nothing.
+        silent = time.monotonic() - node.heard > QUIET
+        if node.missed >= SURE and (silent or not node.roads):
             self.log.warning("a node can't be reached; its sessions are over", node=node.id,
                              sessions=len(node.standing))
             self.lost(node)
-        elif node.pause is None:
+        elif not node.roads and node.pause is None:
             pause = PAUSES[min(node.missed - 1, len(PAUSES) - 1)] if node.missed else 0.0
             node.pause = self.timers.after(pause, self.reach, node)
 
@@ -342,9 +344,10 @@
             self.release(name, play, CUT)
 
     def unmoved(self, node: Node, play: str) -> None:
-        """The platform has not ended a moved session by itself."""
+        """The platform has not ended a moved session: it was over before; its viewer is owed a release."""
         del node.moved[play]
         self.cut(node, play)
+        self.driver.viewers.over(play, 41)
 
     def set_rung(self, name: str, play: str, number: int, rung: int) -> None:
         node = self.nodes.get(name)
@@ -425,6 +428,7 @@
                     ask.settle("broken", self.report(message))
             elif play in node.moved:
                 node.moved.pop(play).cancel()
+                self.driver.viewers.over(play, cause or 41, cause != 31)
             elif play in node.standing:
                 self.over(node, play, ENDS.get(cause, "broken"), cause or 41, cause != 31)
         elif message.method == "ANNOUNCE":
--- a/curlewhall/relay/viewers.py
+++ b/curlewhall/relay/viewers.py
@@ -340,7 +340,10 @@
         self.away[held.facts.viewer] = None
         if len(self.away) > 1000:  # far more than come back at one time
             self.away.popitem(last=False)
-        self.tell(held.facts.play, messages.message(messages.MOVE, held.facts.play))
+        session = self.sessions.get(held.facts.play)
+        if session is not None and session.line is not None:
+            # Danger: it may be over at its node already, and then a release is owed: the node's side tells.
+            session.line.line.send(messages.message(messages.MOVE, session.id))
 
     def over(self, play: str, cause: int, owed: bool = True) -> None:
         """A session that stood has come to its end at its node."""
