--- a/curlewhall/policy.py
+++ b/curlewhall/policy.py
@@ -108,7 +108,7 @@
     # ---- called from outside, as interface.py tells
 
     def listed(self, now, how, rows):
-        changed, named, leaving, self.turn = False, {row.node for row in rows}, [], self.turn + 1
+        changed, named, self.turn = False, {row.node for row in rows}, self.turn + 1
         for node in list(self.nodes.values()):
             if node.row.state != "gone":
                 node.listed = now
@@ -127,27 +127,14 @@
             elif row.started > node.row.started:
                 node.cold_from, node.heard_at, node.broken = max(now, row.started), NEVER, False
             changed = changed or node.row._replace(state=row.state, started=row.started) != row
-            if node.row.state == "serving" and row.state == "draining":
-                leaving += [p for p in node.plays.values() if p.answered]
             node.row = row
         for node in self.nodes.values() if how in ("whole", "old_copy") else ():
             if node.id not in named:
                 node.row = node.row._replace(state="gone")
         if changed:
             self.arrange()
-        self.leave(now, leaving)
         return self.said()
 
-    def leave(self, now, plays):
-        """Plays leave a node that is told to drain, where another has room: it is cut once it is gone."""
-        # Only where the platform moves plays, at a price that it names. A break costs about a tenth of one:
-        # so many viewers stay away after it, and the others come again a second later than after a move.
-        if self.card.get("costs.moves", 1) > 0.1:
-            return
-        out = [("move", p.id) for p in plays if p.cells and self.has_room(
-            now, p.id, p.product["name"], p.customer, p.viewer, p.title, p.cells[0], len(p.cells), p.top)]
-        self.out += out
-
     def arrange(self):
         """Racks, cells and links anew, when nodes come or change; those that go keep their place."""
         self.cells, racks = {}, {}
