Relay: one reader beneath both codecs, one way to read addresses, unused state gone

Both codecs collected bytes with the same loop (now relay/reader.py); an address was read in three places by three rules (now card.address_of, so a port of superscript digits is refused with a plain line); the collector's settings stood twice (now front/collector.py); Session.line held a Viewer and is named so; the adapter and the relay read reports with one function.

--- a/curlewhall/daemon/worker.py
+++ b/curlewhall/daemon/worker.py
@@ -16,7 +16,8 @@
 import uvloop
 
 from curlewhall.cli import logs
-from curlewhall.front.serve import FrontProcess, calm_collector, policy
+from curlewhall.front.collector import calm_collector
+from curlewhall.front.serve import FrontProcess, policy
 from curlewhall.recovery.form import Newer
 from curlewhall.recovery.store import Busy
 from curlewhall.settings import WrongFile, front_pb2, load
--- a/curlewhall/front/serve.py
+++ b/curlewhall/front/serve.py
@@ -1,7 +1,6 @@
 """One front as a process: puts the sides together, runs until it is told to stop."""
 
 import asyncio
-import gc
 import importlib
 import os
 import signal
@@ -28,6 +27,7 @@
 from curlewhall.wire.server import Server, listen
 from curlewhall.wire.timers import Timers
 
+from .collector import calm_collector
 from .driver import Driver
 from .listing import Follower
 from .nodes import Nodes
@@ -63,17 +63,6 @@
                              for name, (field, unit) in named.items() if given.HasField(field)})
 
 
-def calm_collector() -> None:
-    """What lives as long as the process is not looked through again and again.
-
-    Danger: with 10,000 plays held the collector's full rounds stop the loop for tens of milliseconds. Plays
-    and their parts are freed by reference counts; cycles are few, so rounds can be rare.
-    """
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(20_000, 20, 50)
-
-
 class FrontProcess:
     """A front within a running loop; `start` opens its sockets, `stop` answers what it took and closes
     them. `coming`: what a predecessor hands over (`daemon.handover.Coming`), None for one that starts alone.
--- a/curlewhall/relay/absent.py
+++ b/curlewhall/relay/absent.py
@@ -43,14 +43,13 @@
         second = int(time.monotonic())
         if second != self.second:
             if self.left_out:
-                print(f"{self.left_out} more lines left out", file=self.out, flush=True)
+                self.say(f"{self.left_out} more lines left out")
             self.second, self.said, self.left_out = second, 0, 0
         self.said += 1
         if self.said > self.RATE:
             self.left_out += 1
             return
-        more = " ".join(f"{name}={value}" for name, value in facts.items())
-        print(f"{text} {more}".rstrip(), file=self.out, flush=True)
+        self.say(text, **facts)
 
     error = warning
 
--- a/curlewhall/relay/card.py
+++ b/curlewhall/relay/card.py
@@ -10,7 +10,7 @@
 NODES = 0.4  # of the rest; usual viewers hold a third of the limit at most, bad ones what they get
 
 
-class Bad(Exception):
+class Bad(ValueError):
     """The configuration can't be used; one plain line says why."""
 
 
@@ -19,7 +19,7 @@
 
     name: str
     address: tuple[str, int]
-    channel: str
+    channel: tuple[str, int]
     seed: int
     card: dict[str, Any]
     known: dict[str, Any]
@@ -28,8 +28,9 @@
 
 
 def address_of(text: Any, what: str) -> tuple[str, int]:
+    """Host and port of "10.2.0.1:2379"; `Bad`, with `what` it was to be, for all else."""
     host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+    if not host or not (port.isascii() and port.isdigit()) or not 0 < int(port) < 65536:
         raise Bad(f"{what} is no address with a port: {text!r}")
     return host, int(port)
 
@@ -57,7 +58,6 @@
     sockets = limits.get("sockets", 1024)
     if not isinstance(sockets, int) or sockets < 64:
         raise Bad(f"limits.sockets must be a number of 64 or more, not {sockets!r}")
-    address_of(config.get("channel"), "channel")
     try:
         seed = int(str(config.get("seed", "0")), 16)
     except ValueError:
@@ -65,4 +65,5 @@
     nodes = int((sockets - RESERVE) * NODES)
     return Given(variables.get("RELAY_NAME") or str(config.get("name", "")),
                  address_of(variables.get("RELAY_LISTEN") or config.get("listen"), "RELAY_LISTEN"),
-                 config["channel"], seed, card_of(settings), known, sockets - RESERVE - nodes, nodes)
+                 address_of(config.get("channel"), "channel"), seed, card_of(settings), known,
+                 sockets - RESERVE - nodes, nodes)
--- a/curlewhall/relay/channel.py
+++ b/curlewhall/relay/channel.py
@@ -13,6 +13,8 @@
 from curlewhall.wire.client import Pool, Reply
 from curlewhall.wire.http import request_bytes
 
+from .card import address_of
+
 SILENT = 1.6  # seconds; a comment comes each second, and a stop counts as told after 4
 PAUSES = (0.05, 0.1, 0.2, 0.4)  # before it is asked again; a break counts as told after 2 s
 MOST = 4 << 20  # bytes of one event: a whole list of thousands of nodes is half of that
@@ -68,14 +70,14 @@
     rows, wrong = [], 0
     for member in members:
         try:
-            host, _, port = member["host_port"].rpartition(":")
+            address = address_of(member["host_port"], "host_port")
             since, weight = member.get("up_since_ms") or 0, float(member.get("size", 1))
             row = NodeRow(str(member["id"]), int(member["cell"]), str(member.get("locality", "")),
                           str(member.get("flavor", "")), STATES[member["phase"]], weight,
                           max(1, int(since * 10) + offset) if since > 0 else 0)
-            if not host or not 0 < int(port) < 65536 or not 0 <= weight < 1e9 or row.place < 0:
-                raise ValueError(member["host_port"])
-            rows.append((row, (host, int(port))))
+            if not 0 <= weight < 1e9 or row.place < 0:
+                raise ValueError(f"a weight or place out of range: {row}")
+            rows.append((row, address))
         except (KeyError, TypeError, ValueError, AttributeError, OverflowError):
             wrong += 1
     return rows, wrong
@@ -84,13 +86,13 @@
 class Channel:
     """Follows the channel at one address; `point` sends it to another."""
 
-    def __init__(self, driver: Driver, loop, timers, address: str, log) -> None:
+    def __init__(self, driver: Driver, loop, timers, address: tuple[str, int], log) -> None:
         self.driver, self.loop, self.timers, self.log = driver, loop, timers, log
         self.offset = driver.clock.now() - time.time_ns() // 100_000
         self.cursor, self.tries, self.address = 0, 0, address
         self.pool: Pool | None = None
         self.events, self.stream, self.silence, self.pause = Events(), None, None, None
-        self.skipped, self.failing, self.asked, self.closed = False, False, 0, False
+        self.skipped = self.failing = self.closed = False
 
     def begin(self, known: dict[str, Any]) -> None:
         """Take what the configuration knows."""
@@ -109,7 +111,7 @@
         self.driver.nodes.listed(rows, whole)  # first: the module may allocate at once
         self.driver.listed(how if whole else "changes", [row for row, _ in rows])
 
-    def point(self, address: str) -> None:
+    def point(self, address: tuple[str, int]) -> None:
         """Ask here from now on; the numbers go on."""
         if address != self.address or self.pool is None:
             self.address = address
@@ -121,14 +123,12 @@
             return
         self.pause = None
         if self.pool is None:
-            host, _, port = self.address.rpartition(":")
-            self.pool = Pool(self.loop, self.timers, host, int(port), connect=0.5)
+            self.pool = Pool(self.loop, self.timers, *self.address, connect=0.5)
         self.events = Events()
         data = request_bytes("GET", "/cmd/next", self.pool.host, last_event_id=str(self.cursor),
                              accept="text/event-stream")
         pool = self.pool
         self.stream = pool.ask(data, 86_400.0, lambda reply: self.ended(pool, reply), tell=self.told)
-        self.asked += 1
         self.listen()
 
     def listen(self) -> None:
--- a/curlewhall/relay/messages.py
+++ b/curlewhall/relay/messages.py
@@ -7,6 +7,8 @@
 import struct
 from typing import NamedTuple
 
+from . import reader
+
 MOST = 16384  # bytes of a message, its length field included: the platform's own limit
 HEAD = struct.Struct(">HB8s")
 FIELD = struct.Struct(">BH")
@@ -25,37 +27,25 @@
     fields: dict[int, bytes]
 
 
-class Reader:
-    """Collects messages from fed bytes. `why` tells what can't be read; nothing is taken after that."""
-
-    __slots__ = ("data", "why")
-
-    def __init__(self) -> None:
-        self.data, self.why = bytearray(), ""
-
-    def feed(self, piece: bytes) -> list[Message]:
-        """The messages that are whole by now."""
-        found: list[Message] = []
-        if self.why:
-            return found
-        self.data += piece
-        while len(self.data) >= 3 and not self.why:
-            size = 2 + int.from_bytes(self.data[:2], "big")
-            # Danger: what can't be a message is told from its first three bytes, before the rest is awaited.
-            if not HEAD.size <= size <= MOST:
-                self.why = "a length out of bounds"
-            elif self.data[2] not in KINDS:
-                self.why = "an unknown type"
-            elif len(self.data) < size:
-                break
-            else:
-                message = self.parse(bytes(self.data[:size]))
-                if message:
-                    found.append(message)
-                del self.data[:size]
-        if self.why:
-            self.data = bytearray()
-        return found
+class Reader(reader.Reader):
+    """Messages as they come over one connection."""
+
+    __slots__ = ()
+
+    def next(self) -> Message | None:
+        if len(self.data) < 3:
+            return None
+        size = 2 + int.from_bytes(self.data[:2], "big")
+        # Danger: what can't be a message is told from its first three bytes, before the rest is awaited.
+        if not HEAD.size <= size <= MOST:
+            self.why = "a length out of bounds"
+        elif self.data[2] not in KINDS:
+            self.why = "an unknown type"
+        elif len(self.data) >= size:
+            whole = bytes(self.data[:size])
+            del self.data[:size]
+            return self.parse(whole)
+        return None
 
     def parse(self, data: bytes) -> Message | None:
         _, kind, session = HEAD.unpack_from(data)
--- a/curlewhall/relay/nodes.py
+++ b/curlewhall/relay/nodes.py
@@ -25,7 +25,7 @@
 NOTES = {"got": "delivered", "level": "rung", "port": "link_asked", "spine": "uplink_asked"}
 REFUSALS = {453: "full", 454: "not_sent", 504: "broken"}  # else: an error
 ENDS = {16: "ok", 31: "withdrawn"}  # else: broken
-CUT = 31
+CUT, LOST = 31, 41  # causes: ended by a front; broken off
 
 
 class Ask:
@@ -80,6 +80,11 @@
         self.heard = self.used = time.monotonic()
         self.tired, self.limit, self.line = False, None, None
 
+    @property
+    def idle(self) -> bool:
+        """Whether nothing is waited for on it."""
+        return not self.asks and not self.probes
+
 
 class Node:
     """One listed node."""
@@ -92,6 +97,10 @@
         self.unsaid: list[bytes] = []
         self.missed, self.pause, self.heard = 0, None, time.monotonic()
 
+    def open_roads(self) -> list[Road]:
+        """Connections that are up and trusted, the latest heard of first."""
+        return sorted((r for r in self.roads if r.line.open and not r.tired), key=lambda r: -r.heard)
+
 
 class Nodes:
     """All nodes, and all connections to them: `most` at once."""
@@ -121,11 +130,11 @@
             old, node.row = node.row, row
             if address != node.address:
                 node.address = address
-                self.shut(node, "reset")
+                self.shut(node)
             elif row.started > old.started:
                 # Danger: sessions of the process before are over, and no release tells of it.
                 for play in [p for p, began in node.standing.items() if began < row.started]:
-                    self.over(node, play, "broken", 41)
+                    self.over(node, play, "broken", LOST)
             if row.state == "gone" != old.state:
                 self.timers.after(WAIT, self.left, node)
         for node in [n for n in self.nodes.values() if whole and n.id not in named and n.row.state != "gone"]:
@@ -136,16 +145,16 @@
         """A node is gone and has had time for its last words."""
         if self.nodes.get(node.id) is node and node.row.state == "gone":
             self.lost(node)
-            self.shut(node, "reset")
+            self.shut(node)
             del self.nodes[node.id]
 
     def lost(self, node: Node) -> None:
         for play in list(node.standing):
-            self.over(node, play, "broken", 41)
+            self.over(node, play, "broken", LOST)
 
-    def shut(self, node: Node, why: str) -> None:
+    def shut(self, node: Node) -> None:
         for road in list(node.roads):
-            road.line.end(why)
+            road.line.end("reset")
 
     # ---- connections
 
@@ -165,7 +174,7 @@
         return road
 
     def make_room(self) -> bool:
-        free = [r for r in self.roads.values() if not r.asks and not r.probes]
+        free = [r for r in self.roads.values() if r.idle]
         spare = [r for r in free if len(r.node.roads) > 1 or not r.node.standing] or free
         if not spare:
             return False
@@ -174,8 +183,9 @@
 
     def pick(self, node: Node) -> Road | None:
         """The connection for a set-up: an idle one, else a new one, else the one with the fewest open."""
-        sound = [r for r in node.roads if not r.tired]
-        for road in sorted((r for r in sound if r.line.open and not r.asks), key=lambda r: -r.heard):
+        for road in node.open_roads():
+            if road.asks:
+                continue
             if not road.line.dead():
                 return road
             self.loop.call_soon(road.line.readable)
@@ -185,7 +195,7 @@
             road = self.road(node)
             if road is not None:
                 return road
-        shared = [r for r in sound if not r.tired and len(r.asks) < self.streams]
+        shared = [r for r in node.roads if not r.tired and len(r.asks) < self.streams]
         return min(shared, key=lambda r: len(r.asks), default=None)
 
     def opened(self, line: Line) -> None:
@@ -199,8 +209,7 @@
             line.send(data)
         for ask in list(road.asks.values()):
             self.go(ask, road)
-        for quiet in [r for r in node.roads if r is not road and not r.asks and not r.probes and
-                      now - r.heard > QUIET]:
+        for quiet in [r for r in node.roads if r is not road and r.idle and now - r.heard > QUIET]:
             self.close(quiet)  # it may be dead without a word; this one lives
 
     def ended(self, line: Line, why: str) -> None:
@@ -262,7 +271,7 @@
         now = time.monotonic()
         idle = self.driver.card.get("permissions.idle_close", 15 * SECOND) / SECOND * 0.6
         for node in list(self.nodes.values()):
-            for road in [r for r in node.roads if not r.asks and not r.probes and r.line.open]:
+            for road in [r for r in node.roads if r.idle and r.line.open]:
                 if road.tired or (now - max(road.used, road.heard) > idle and
                                   (len(node.roads) > 1 or not node.standing)):
                     self.close(road)
@@ -328,11 +337,11 @@
         """End a session that stands at a node."""
         node = self.nodes.get(name)
         if node is not None and node.standing.pop(play, None) is not None:
-            self.say(node, rtsp.request("TEARDOWN", play, play, 2, Reason=f"cause={cause}"))
+            self.cut(node, play, cause)
 
-    def cut(self, node: Node, play: str) -> None:
-        """End what may stand there, though no answer told so."""
-        self.say(node, rtsp.request("TEARDOWN", play, play, 2, Reason=f"cause={CUT}"))
+    def cut(self, node: Node, play: str, cause: int = CUT) -> None:
+        """End what stands there, or may stand though no answer told so."""
+        self.say(node, rtsp.request("TEARDOWN", play, play, 2, Reason=f"cause={cause}"))
 
     def end(self, name: str, play: str, number: int, why: str) -> None:
         """The driver ends what may run; what was open was given up when its ask ended."""
@@ -347,7 +356,7 @@
         """The platform has not ended a moved session: it was over before; its viewer is owed a release."""
         del node.moved[play]
         self.cut(node, play)
-        self.driver.viewers.over(play, 41)
+        self.driver.viewers.over(play, LOST)
 
     def set_rung(self, name: str, play: str, number: int, rung: int) -> None:
         node = self.nodes.get(name)
@@ -356,7 +365,7 @@
 
     def say(self, node: Node, data: bytes) -> None:
         """Say something that wants no answer, on an open connection, or on the next."""
-        for road in sorted((r for r in node.roads if r.line.open and not r.tired), key=lambda r: -r.heard):
+        for road in node.open_roads():
             if road.line.send(data):
                 return
         if node.row.state != "gone" and len(node.unsaid) < UNSAID:
@@ -366,7 +375,7 @@
 
     def probe(self, name: str) -> None:
         node = self.nodes.get(name)
-        road = node and self.pick_open(node)
+        road = node and self.pick_any(node)
         if road is None:
             self.loop.call_soon(self.driver.hear, "probed", name, "unreached" if node else "not_sent", 0, {})
             return
@@ -374,19 +383,16 @@
         session = f"{self.seed:08x}{self.probes & 0xFFFFFFFF:08x}"
         road.probes[session] = time.monotonic()
         self.timers.after(PROBE, self.probe_late, road, session)
+        data = rtsp.request("OPTIONS", "load", session, 3)
         if road.line.open:
-            self.ask_load(road, session)
+            road.line.send(data)
         else:
-            node.unsaid.append(rtsp.request("OPTIONS", "load", session, 3))
-
-    def pick_open(self, node: Node) -> Road | None:
-        """For a small question: any open connection, else a new one."""
-        sound = [r for r in node.roads if not r.tired]
-        return (max((r for r in sound if r.line.open), key=lambda r: r.heard, default=None)
-                or next(iter(sound), None) or self.road(node))
+            node.unsaid.append(data)
 
-    def ask_load(self, road: Road, session: str) -> None:
-        road.line.send(rtsp.request("OPTIONS", "load", session, 3))
+    def pick_any(self, node: Node) -> Road | None:
+        """For a small question: any open connection, else one on its way, else a new one."""
+        sound = node.open_roads() or [r for r in node.roads if not r.tired]
+        return sound[0] if sound else self.road(node)
 
     def probe_late(self, road: Road, session: str) -> None:
         if session in road.probes:
@@ -428,9 +434,9 @@
                     ask.settle("broken", self.report(message))
             elif play in node.moved:
                 node.moved.pop(play).cancel()
-                self.driver.viewers.over(play, cause or 41, cause != 31)
+                self.driver.viewers.over(play, cause or LOST, cause != CUT)
             elif play in node.standing:
-                self.over(node, play, ENDS.get(cause, "broken"), cause or 41, cause != 31)
+                self.over(node, play, ENDS.get(cause, "broken"), cause or LOST, cause != CUT)
         elif message.method == "ANNOUNCE":
             self.note(node, play, message.fields)
         elif message.method:
@@ -472,10 +478,8 @@
             self.driver.noted(play, node.id, kind, value)
 
     def report(self, message: rtsp.Message) -> dict[str, float]:
-        text = message.fields.get("x-state", "")
         try:
-            return report_of((name, value) for name, colon, value in
-                             (part.partition(":") for part in text.split(";")) if colon)
+            return report_of(message.fields.get("x-state", ""), ";")
         except ValueError:
             return {}
 
--- a/curlewhall/relay/rtsp.py
+++ b/curlewhall/relay/rtsp.py
@@ -3,6 +3,8 @@
 import re
 from typing import NamedTuple
 
+from . import reader
+
 MOST = 16384  # bytes of a message, head and body: the platform's own limit
 LINE = 1024  # bytes of its first line
 REQUEST = re.compile(r"([A-Z_]{3,16}) (rtsp://[!-~]{1,512}) RTSP/1\.0")
@@ -27,28 +29,10 @@
         return int(found[1]) if found else 0
 
 
-class Reader:
-    """Collects messages from fed bytes. `why` tells what can't be read; nothing is taken after that."""
-
-    __slots__ = ("data", "why")
+class Reader(reader.Reader):
+    """Messages as they come over one connection."""
 
-    def __init__(self) -> None:
-        self.data, self.why = bytearray(), ""
-
-    def feed(self, piece: bytes) -> list[Message]:
-        """The messages that are whole by now."""
-        found: list[Message] = []
-        if self.why:
-            return found
-        self.data += piece
-        while self.data and not self.why:
-            message = self.next()
-            if message is None:
-                break
-            found.append(message)
-        if self.why:
-            self.data = bytearray()
-        return found
+    __slots__ = ()
 
     def next(self) -> Message | None:
         end = self.data.find(b"\r\n\r\n", 0, MOST)
@@ -65,6 +49,8 @@
             return None
         lines = bytes(self.data[:end]).split(b"\r\n")
         start, fields = self.start(lines[0]), {}
+        if start is None:
+            return None
         for raw in lines[1:]:
             found = FIELD.fullmatch(raw.decode("latin-1"))
             if not found or found[1].lower() in fields:
@@ -72,15 +58,15 @@
                 return None
             fields[found[1].lower()] = found[2]
         size, session = fields.get("content-length", ""), fields.get("session", "")
-        if not self.why and not (size.isascii() and size.isdigit() and len(size) < 6):
+        if not (size.isascii() and size.isdigit() and len(size) < 6):
             self.why = "a length that is no number"
-        elif not self.why and end + 4 + int(size) > MOST:
+        elif end + 4 + int(size) > MOST:
             self.why = "a message too long"
-        elif not self.why and not SESSION.fullmatch(session):
+        elif not SESSION.fullmatch(session):
             self.why = "a session that can't be read"
-        elif not self.why and not fields.get("cseq", "").isdigit():
+        elif not fields.get("cseq", "").isdigit():
             self.why = "a sequence number that can't be read"
-        if self.why or start is None:
+        if self.why:
             return None
         whole = end + 4 + int(size)
         if len(self.data) < whole:
--- a/curlewhall/relay/serve.py
+++ b/curlewhall/relay/serve.py
@@ -1,14 +1,14 @@
 """One front on the platform: started, told of a new configuration (SIGHUP), asked to leave (SIGTERM)."""
 
 import asyncio
-import gc
 import os
 import signal
 import sys
 
 import uvloop
 
-from curlewhall.front.driver import Clock, Driver
+from curlewhall.front.collector import calm_collector
+from curlewhall.front.driver import Driver
 from curlewhall.policy import Front
 from curlewhall.wire.server import listen
 from curlewhall.wire.timers import Timers
@@ -29,7 +29,7 @@
         self.log, self.loop = log, asyncio.get_running_loop()
         self.timers, self.over = Timers(self.loop), asyncio.Event()
         try:
-            self.driver = Driver(Front, given.seed, given.card, self.timers, log, Clock())
+            self.driver = Driver(Front, given.seed, given.card, self.timers, log)
             self.viewers = Viewers(self.driver, self.loop, self.timers, given.viewers, log)
             self.nodes = Nodes(self.driver, self.loop, self.timers, given.nodes, log, given.seed)
         except (KeyError, IndexError, TypeError, ValueError, AttributeError) as err:
@@ -49,7 +49,7 @@
         except card.Bad as err:
             self.log.say(f"the old configuration is kept: {err}")
             return
-        self.log.say("configuration read again", channel=given.channel)
+        self.log.say("configuration read again", channel="{}:{}".format(*given.channel))
         self.channel.point(given.channel)
 
     def stop(self) -> None:
@@ -76,13 +76,10 @@
     relay.loop.add_signal_handler(signal.SIGHUP, relay.reload)
     for number in (signal.SIGTERM, signal.SIGINT):
         relay.loop.add_signal_handler(number, relay.stop)
-    log.say("serving", name=given.name, address=f"{given.address[0]}:{given.address[1]}",
+    log.say("serving", name=given.name, address="{}:{}".format(*given.address),
             nodes=len(relay.nodes.nodes))
     del given
-    # Danger: full rounds of the collector stop the loop. What lives as long as the process is left out.
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(5_000, 20, 20)
+    calm_collector(5_000, 20)  # a small machine: rounds often enough that what is in cycles never adds up
     await relay.over.wait()
     relay.close()
 
@@ -92,10 +89,7 @@
     try:
         given = card.read(os.environ)
         uvloop.run(until_told(given, Log()))
-    except card.Bad as err:
-        print(f"can't start: {err}", file=sys.stderr)
-        return 1
-    except OSError as err:
+    except (card.Bad, OSError) as err:
         print(f"can't start: {err}", file=sys.stderr)
         return 1
     return 0
--- a/curlewhall/relay/viewers.py
+++ b/curlewhall/relay/viewers.py
@@ -21,6 +21,7 @@
 IDLE = 6.0  # seconds without any session; viewers themselves close after 4
 SOON = 0.4  # seconds that a release waits for a connection known to be a usual viewer's; 1 s is allowed
 KEPT = 8.0  # seconds after which a release that nobody came for is dropped: nothing counts it any more
+PATIENT = 10  # times a product's time limit: viewers wait no longer than it; beyond this it is no patience
 DECLINED, FAILED, WRONG = 42, 41, 100  # causes: congestion; temporary failure; invalid contents (ITU-T Q.850)
 TITLE = re.compile(rb"[0-9a-f]{16}")
 VIEWER = re.compile(r"[0-9a-f]{1,16}")
@@ -49,18 +50,17 @@
 class Session:
     """A play on the viewers' side, from its set-up until it is over: `Held.exchange` of the driver."""
 
-    __slots__ = ("id", "line", "description", "answer", "held", "stands")
+    __slots__ = ("id", "viewer", "description", "answer", "held", "stands")
 
-    def __init__(self, name: str, line: "Viewer | None", description: bytes) -> None:
-        self.id, self.line, self.description, self.answer = name, line, description, b""
+    def __init__(self, name: str, viewer: "Viewer", description: bytes = b"") -> None:
+        self.id, self.viewer, self.description, self.answer = name, viewer, description, b""
         self.held, self.stands = None, False
 
 
 class Viewer:
     """One connection from viewers."""
 
-    __slots__ = ("line", "reader", "since", "heard", "partial", "open", "stands", "sound", "served",
-                 "closing")
+    __slots__ = ("line", "reader", "since", "heard", "partial", "open", "stands", "sound", "closing")
 
     def __init__(self, now: float) -> None:
         self.line, self.reader = None, messages.Reader()
@@ -68,7 +68,7 @@
         self.partial = 0.0  # since when a message is half here; 0: none is
         self.open: dict[str, Session] = {}  # set-ups that are owed an answer
         self.stands: dict[str, Session] = {}
-        self.sound = self.served = self.closing = False
+        self.sound = self.closing = False
 
 
 class Viewers:
@@ -77,16 +77,16 @@
     def __init__(self, driver: Driver, loop, timers, most: int, log) -> None:
         self.driver, self.loop, self.timers, self.most, self.log = driver, loop, timers, most, log
         card = driver.card
-        floors, tops = card["specifics.floor_by_class"], len(card["specifics.rung_kb"])
-        self.products = {p["name"]: (floors[i], 10 * p["time_limit"]) for i, p in enumerate(card["products"])}
-        self.places, self.rungs = max(1, card["specifics.places"]), tops
+        floors = card["specifics.floor_by_class"]
+        self.products = {p["name"]: (floors[i], PATIENT * p["time_limit"])
+                         for i, p in enumerate(card["products"])}
+        self.places, self.rungs = max(1, card["specifics.places"]), len(card["specifics.rung_kb"])
         self.lines: dict[Line, Viewer] = {}
         self.sessions: dict[str, Session] = {}
         self.waiting: OrderedDict[str, tuple[float, bytes]] = OrderedDict()  # releases without a connection
         self.usual: OrderedDict[Viewer, None] = OrderedDict()  # connections that were served, latest last
         self.away: OrderedDict[str, None] = OrderedDict()  # viewers moved, who have yet to come again
         self.listener, self.ready = None, False
-        self.turned_away = 0
 
     # ---- connections
 
@@ -144,7 +144,7 @@
         for session in list(viewer.open.values()):
             self.give_up(session)
         for session in viewer.stands.values():
-            session.line = None
+            session.viewer = None
 
     def look(self) -> None:
         """Close what says nothing, ends nothing or has nothing more to say; send releases that wait."""
@@ -154,7 +154,7 @@
             torn = viewer.partial and now - viewer.partial > SILENT
             if torn or viewer.closing or silent:
                 self.part(viewer)
-            elif not viewer.open and not viewer.stands and now - max(viewer.heard, viewer.since) > IDLE:
+            elif not viewer.open and not viewer.stands and now - viewer.heard > IDLE:
                 self.drop(viewer)
         self.flush(now)
         self.timers.after(LOOK, self.look)
@@ -207,18 +207,17 @@
             facts, figures, limit = self.read(message)
         except Wrong as err:
             self.log.warning("a set-up that can't be taken", session=name, why=err)
-            if known is None or known.line is not viewer:
+            if known is None or known.viewer is not viewer:
                 viewer.line.send(messages.message(messages.RELEASE, name, cause=bytes((WRONG,))))
-                viewer.sound = viewer.sound or bool(viewer.open)
             return
         if "at" in figures:
             if known is None:
                 viewer.sound, viewer.heard = True, time.monotonic()
-                self.resume(viewer, facts, figures["at"], message.fields[messages.DESCRIPTION])
+                self.resume(viewer, facts, figures["at"])
             return
         if known is not None:
             # Danger: it must disturb neither the first, whose answer is on its way, nor others here.
-            if known.line is not viewer:
+            if known.viewer is not viewer:
                 self.part(viewer)
             return
         viewer.sound, viewer.heard = True, time.monotonic()
@@ -266,9 +265,9 @@
             raise Wrong(f"{name} is no number")
         return int(text)
 
-    def resume(self, viewer: Viewer, facts: Facts, node: str, description: bytes) -> None:
+    def resume(self, viewer: Viewer, facts: Facts, node: str) -> None:
         """A session that plays at its node already: adopted, without an answer."""
-        session = Session(facts.play, viewer, description)
+        session = Session(facts.play, viewer)
         if not self.driver.nodes.adopt(facts.play, node):
             self.log.warning("a session at a node that is not listed", node=node)
             return
@@ -296,10 +295,10 @@
 
     def forget(self, session: Session) -> None:
         self.sessions.pop(session.id, None)
-        if session.line is not None:
-            session.line.open.pop(session.id, None)
-            session.line.stands.pop(session.id, None)
-            session.line.heard = time.monotonic()
+        if session.viewer is not None:
+            session.viewer.open.pop(session.id, None)
+            session.viewer.stands.pop(session.id, None)
+            session.viewer.heard = time.monotonic()
 
     # ---- answers, as the driver tells them
 
@@ -307,7 +306,7 @@
         session = self.sessions.get(held.facts.play)
         if session is None or session.stands:
             return None
-        viewer = session.line
+        viewer = session.viewer
         self.forget(session)
         viewer.line.send(data)
         if viewer.closing and not viewer.open:
@@ -320,14 +319,12 @@
         session = self.answer(held, data)
         if session is not None:
             session.stands, session.description, session.answer = True, b"", b""
-            self.sessions[session.id] = session.line.stands[session.id] = session
-            session.line.served = True
-            self.usual[session.line] = None
-            self.usual.move_to_end(session.line)
+            self.sessions[session.id] = session.viewer.stands[session.id] = session
+            self.usual[session.viewer] = None
+            self.usual.move_to_end(session.viewer)
             self.flush(time.monotonic())
 
     def decline(self, held: Held, away: int) -> None:
-        self.turned_away += 1
         values = {"cause": bytes((DECLINED,))}
         if away > 0:
             values["away"] = str(-(-away // 10)).encode()
@@ -341,9 +338,9 @@
         if len(self.away) > 1000:  # far more than come back at one time
             self.away.popitem(last=False)
         session = self.sessions.get(held.facts.play)
-        if session is not None and session.line is not None:
+        if session is not None and session.viewer is not None:
             # Danger: it may be over at its node already, and then a release is owed: the node's side tells.
-            session.line.line.send(messages.message(messages.MOVE, session.id))
+            session.viewer.line.send(messages.message(messages.MOVE, session.id))
 
     def over(self, play: str, cause: int, owed: bool = True) -> None:
         """A session that stood has come to its end at its node."""
@@ -357,7 +354,7 @@
         session = self.sessions.get(play)
         if session is None or not session.stands:
             return
-        viewer = session.line
+        viewer = session.viewer
         self.forget(session)
         if viewer is None or not viewer.line.send(data):
             self.waiting[play] = time.monotonic(), data
--- a/curlewhall/simhost/host.py
+++ b/curlewhall/simhost/host.py
@@ -48,14 +48,6 @@
     return tag, pairs
 
 
-def parted(text: str) -> Iterable[tuple[str, str]]:
-    """The name:value pairs of a load report."""
-    for part in text.split(","):
-        name, colon, value = part.partition(":")
-        if colon:
-            yield name, value
-
-
 def ending_of(code: str) -> str:
     """The ending in our words; one that the wire adds later is an error of which nothing is proved."""
     return ENDINGS.get(code, "error")
@@ -166,7 +158,7 @@
         elif tag == "answer":
             self.call(at, front.ended, now, pairs["ticket"], int(pairs["trial"]), pairs["node"],
                       ending_of(pairs["rc"]), flag(pairs.get("final", "0")),
-                      tenths(pairs.get("lag-ms", 0)), report_of(parted(pairs.get("report", ""))))
+                      tenths(pairs.get("lag-ms", 0)), report_of(pairs.get("report", ""), ","))
         elif tag == "progress":
             kind = NOTES.get(int(pairs["topic"]))
             if kind:
@@ -174,7 +166,7 @@
                           float(pairs["amount"]))
         elif tag == "probe_done":
             self.call(at, front.probed, now, pairs["node"], ending_of(pairs["rc"]),
-                      tenths(pairs.get("lag-ms", 0)), report_of(parted(pairs.get("report", ""))))
+                      tenths(pairs.get("lag-ms", 0)), report_of(pairs.get("report", ""), ","))
         elif tag == "message":
             self.call(at, front.told, now, int(pairs["by"]), octets(pairs.get("octets", "-")))
         elif tag == "bell":
--- a/curlewhall/standins/platform.py
+++ b/curlewhall/standins/platform.py
@@ -45,7 +45,7 @@
         self.standing: dict[str, object] = {}
         self.untold: dict[str, int] = {}  # ends that nobody has heard: told again on the next connection
         self.out: dict[str, object] = {}
-        self.loads, self.report = "serve", "cpu:0.25;x1:0.5"
+        self.report = "cpu:0.25;x1:0.5"
 
     async def start(self, port: int = 0) -> None:
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", port)
@@ -95,8 +95,7 @@
             self.untold.pop(session, None)
         elif message.method == "OPTIONS":
             self.say("asked for load", session)
-            if self.loads == "serve":
-                writer.write(self.answer(200, session, b"", 3, f"X-State: {self.report}\r\n"))
+            writer.write(self.answer(200, session, b"", 3, f"X-State: {self.report}\r\n"))
         elif message.method == "SET_PARAMETER":
             self.say("rung", session, int(message.fields["x-rung"]))
 
@@ -175,7 +174,6 @@
     def __init__(self) -> None:
         self.events: list[tuple[int, str]] = []
         self.lines, self.calls, self.held, self.server = [], [], False, None
-        self.told = asyncio.Event()
 
     async def start(self) -> None:
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -186,7 +184,6 @@
         fields = dict(line.lower().split(": ", 1) for line in head.decode().split("\r\n")[1:] if line)
         last = int(fields["last-event-id"])
         self.calls.append(last)
-        self.told.set()
         if not self.held:
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: here\n\n")
             for number, data in self.events:
@@ -291,7 +288,6 @@
         self.nodes: dict[str, Node] = {}
         self.channel, self.seen, self.viewers = Channel(), [], []
         self.names, self.ends_moved = itertools.count(1), True
-        self.changed = asyncio.Condition()
 
     def name(self) -> str:
         return f"{next(self.names):016x}"
--- a/curlewhall/words.py
+++ b/curlewhall/words.py
@@ -4,7 +4,6 @@
 """
 
 import math
-from collections.abc import Iterable
 from typing import Any
 
 NOTES = {1: "delivered", 2: "rung", 3: "link_asked", 4: "uplink_asked"}
@@ -47,11 +46,14 @@
     return flat(renamed(settings))
 
 
-def report_of(pairs: Iterable[tuple[str, str]]) -> dict[str, float]:
-    """A load report in our words. A name that is not known and a figure that is no number are left out."""
+def report_of(text: str, separator: str) -> dict[str, float]:
+    """A load report of name:value pairs in our words. Unknown names and figures without end are left out;
+    `ValueError` for what is no figure.
+    """
     report = {}
-    for name, value in pairs:
-        if name in REPORTED:
+    for part in text.split(separator):
+        name, colon, value = part.partition(":")
+        if colon and name in REPORTED:
             figure = float(value)
             if math.isfinite(figure):
                 report[REPORTED[name]] = figure
--- a/tests/relay/test_relay_process.py
+++ b/tests/relay/test_relay_process.py
@@ -44,7 +44,7 @@
 
 @pytest.mark.parametrize(("change", "said"), [
     ({"settings": None}, "no settings"), ({"settings": {}}, "settings can't be used"),
-    ({"channel": None}, "channel"), ({"channel": "x"}, "channel"),
+    ({"channel": None}, "channel"), ({"channel": "x"}, "channel"), ({"channel": "x:\xb2"}, "channel"),
     ({"limits": {"sockets": "x"}}, "sockets"), ({"limits": {"sockets": 8}}, "sockets"),
     ({"seed": "xyz"}, "seed"), ({"known": []}, "known"), ({"known": {"cmds": {}}}, "known"),
     ({"settings": {"lanes": 3}}, "settings can't be used"),
--- a/tests/relay/town.py
+++ b/tests/relay/town.py
@@ -67,7 +67,7 @@
     def flush(self):
         pass
 
-    async def until(self, true, why="it did not happen"):
+    async def until(self, true):
         """Wait until something is so; what is waited for comes over sockets of this loop."""
         async with asyncio.timeout(15):
             while not true():
