Fronts draw when they ask again: for the channel, at silent nodes, for ways in at birth

The channel was asked again after 0.05, 0.1, 0.2, 0.4 s by all fronts alike (PAUSES). relay/decide.py, free of I/O, now says when: channel waits are drawn, the first within half of a drain's grace, then up to three times the last, 0.4 s at most; a new channel is met over 5 ms a front, 1 s at most (4 s are allowed); a silent node is asked after what 8 s leave for two attempts (6 s here), after 3 s in a zone where a machine may have vanished; ways in at birth over 10 ms a front, 2 s at most.

--- a/curlewhall/relay/channel.py
+++ b/curlewhall/relay/channel.py
@@ -8,15 +8,16 @@
 import time
 from typing import Any
 
-from curlewhall.front.driver import Driver
+from curlewhall.front.driver import SECOND, Driver
 from curlewhall.interface import NodeRow
 from curlewhall.wire.client import Pool, Reply
 from curlewhall.wire.http import request_bytes
 
 from .card import address_of
+from .decide import Returns
 
 SILENT = 1.6  # seconds; a comment comes each second, and a stop counts as told after 4
-PAUSES = (0.05, 0.1, 0.2, 0.4)  # before it is asked again; a break counts as told after 2 s
+TRIES = 4  # asks in a row that come to nothing until the module is told that the list has failed
 MOST = 4 << 20  # bytes of one event: a whole list of thousands of nodes is half of that
 STATES = {"ready": "serving", "draining": "draining", "gone": "gone"}
 
@@ -86,13 +87,16 @@
 class Channel:
     """Follows the channel at one address; `point` sends it to another."""
 
-    def __init__(self, driver: Driver, loop, timers, address: tuple[str, int], log) -> None:
+    def __init__(self, driver: Driver, loop, timers, address: tuple[str, int], log, seed: int) -> None:
         self.driver, self.loop, self.timers, self.log = driver, loop, timers, log
         self.offset = driver.clock.now() - time.time_ns() // 100_000
         self.cursor, self.tries, self.address = 0, 0, address
         self.pool: Pool | None = None
-        self.events, self.stream, self.silence, self.pause = Events(), None, None, None
+        self.events, self.stream, self.silence, self.pause, self.turn = Events(), None, None, None, None
         self.skipped = self.failing = self.closed = False
+        self.since = 0.0  # when the stream first told something; 0: not yet
+        card = driver.card
+        self.returns = Returns(seed, card.get("rules.drain_grace", 0) / SECOND, card.get("fronts", 1))
 
     def begin(self, known: dict[str, Any]) -> None:
         """Take what the configuration knows."""
@@ -112,11 +116,16 @@
         self.driver.listed(how if whole else "changes", [row for row, _ in rows])
 
     def point(self, address: tuple[str, int]) -> None:
-        """Ask here from now on; the numbers go on."""
+        """Ask here from now on; the numbers go on. Until this front's turn the old one is listened to."""
         if address != self.address or self.pool is None:
             self.address = address
-            self.shut()
-            self.subscribe()
+            if self.turn is not None:
+                self.turn.cancel()
+            self.turn = self.timers.after(self.returns.moved(), self.move)
+
+    def move(self) -> None:
+        self.shut()
+        self.subscribe()
 
     def subscribe(self) -> None:
         if self.closed:
@@ -124,7 +133,7 @@
         self.pause = None
         if self.pool is None:
             self.pool = Pool(self.loop, self.timers, *self.address, connect=0.5)
-        self.events = Events()
+        self.events, self.since = Events(), 0.0
         data = request_bytes("GET", "/cmd/next", self.pool.host, last_event_id=str(self.cursor),
                              accept="text/event-stream")
         pool = self.pool
@@ -144,6 +153,7 @@
         if message.status != 200:
             return
         self.listen()
+        self.since = self.since or time.monotonic()
         try:
             for number, data in self.events.feed(piece):
                 self.event(number, data)
@@ -153,6 +163,7 @@
 
     def event(self, number: int, data: str) -> None:
         self.tries = 0
+        self.returns.heard()
         if number <= self.cursor:
             return  # told twice
         command = json.loads(data)
@@ -169,16 +180,16 @@
             return
         if self.silence is not None:
             self.silence.cancel()
-        if self.tries >= len(PAUSES) and not self.failing:
+        if self.tries >= TRIES and not self.failing:
             self.failing = True
             self.driver.listed("failed", [])
             self.log.warning("the channel is out of reach", how=reply.ending)
-        pause = PAUSES[min(self.tries, len(PAUSES) - 1)]
         self.tries += 1
-        self.pause = self.timers.after(pause, self.subscribe)
+        told_for = time.monotonic() - self.since if self.since else 0.0
+        self.pause = self.timers.after(self.returns.broken(told_for), self.subscribe)
 
     def shut(self) -> None:
-        for timer in (self.silence, self.pause):
+        for timer in (self.silence, self.pause, self.turn):
             if timer is not None:
                 timer.cancel()
         pool, self.pool = self.pool, None
--- /dev/null
+++ b/curlewhall/relay/decide.py
@@ -0,0 +1,92 @@
+"""When a front asks again: for a channel that broke off or moved, at nodes that have gone silent. No I/O.
+
+Hundreds of fronts lose the same thing in the same moment. Each draws its waits from its own seed, so that
+they do not come back in step; each wait ends before it can cost a rule. Times are seconds; no clock is read.
+"""
+
+from zlib import crc32
+
+MOST = 0.4  # the longest wait for the channel; a break counts as told after 2 s, and five asks fit in
+STEADY = 1.0  # a stream that told something for so long was sound: its end is no try that failed
+APART, LONGEST = 0.005, 1.0  # a front's part of the span over which a fleet moves to a new channel; at most
+WAY_IN, IN_ALL = 0.01, 2.0  # the same for connections to nodes at which sessions were found; at most
+KNOWN = 8.0  # what ended unheard has to be told to its viewer by then
+SPARE = 0.5  # of it, for a busy core and the way to the viewer
+DOUBTED = 3.0  # how long a node may be silent where a machine may have vanished
+
+
+class Draw:
+    """Numbers from a seed and a counter."""
+
+    def __init__(self, seed: int, what: str) -> None:
+        self.seed, self.what, self.count = seed, what, 0
+
+    def between(self, low: float, high: float) -> float:
+        self.count += 1
+        return low + (high - low) * crc32(f"{self.seed}:{self.what}:{self.count}".encode()) / 2**32
+
+
+class Returns:
+    """The waits of one front before it asks the channel again.
+
+    Danger: what the channel holds counts as told to a front that is away, and a drain's grace runs. The
+    first wait takes half of the grace at most: the other half is the connection's and the event's. Further
+    ones grow to three times the one before (decorrelated jitter), up to `MOST`: then the channel is down, and
+    hundreds that come back in step are what it least needs.
+    """
+
+    def __init__(self, seed: int, grace: float, fronts: int) -> None:
+        self.draw, self.fronts = Draw(seed, "channel"), max(1, fronts)
+        self.least = max(0.001, min(MOST, 0.1 * grace))
+        self.first = max(self.least, min(MOST, 0.5 * grace))
+        self.last = 0.0
+
+    def broken(self, told_for: float) -> float:
+        """The wait after a stream that told something for so long, 0 for an ask that came to nothing."""
+        if told_for >= STEADY or not self.last:
+            self.last = self.draw.between(self.least, self.first)
+        else:
+            self.last = self.draw.between(self.least, min(MOST, 3 * self.last))
+        return self.last
+
+    def heard(self) -> None:
+        """An event came: the next break is a new one."""
+        self.last = 0.0
+
+    def moved(self) -> float:
+        """The wait after a new configuration, which all fronts get at once: 4 s are allowed."""
+        return self.draw.between(0.0, min(LONGEST, APART * self.fronts))
+
+
+class Silences:
+    """How long a node with sessions may say nothing until a new connection shows whether it lives.
+
+    Danger: a machine that vanished says nothing, and what stood there has to be told within `KNOWN`; yet
+    200 fronts with a dozen such nodes each open most of all connections for this alone. So the wait is as
+    long as `sure` attempts, each seen by the next look, leave room for; `DOUBTED` in a zone where something
+    pointed to a vanished machine of late, since a zone is lost as a whole.
+    """
+
+    def __init__(self, look: float, sure: int, connect: float) -> None:
+        self.usual = max(0.1, KNOWN - SPARE - sure * (look + connect))
+        self.doubted = min(DOUBTED, self.usual)
+        self.seen: dict[str, float] = {}
+
+    def doubt(self, zone: str, now: float) -> None:
+        """A connection did not come up there, or a set-up had no answer."""
+        self.seen[zone] = now
+
+    def allowed(self, zone: str, now: float) -> float:
+        return self.doubted if now - self.seen.get(zone, -KNOWN) < KNOWN else self.usual
+
+
+class WaysIn:
+    """The waits until a young front has a connection to each node at which sessions were found."""
+
+    def __init__(self, seed: int, fronts: int) -> None:
+        self.draw, self.span = Draw(seed, "way in"), min(IN_ALL, WAY_IN * max(1, fronts))
+
+    def wait(self) -> float:
+        """Danger: a fleet that starts at once meets each node with all its fronts in one moment. What ends
+        meanwhile is told on the connection that opens, well within `KNOWN`."""
+        return self.draw.between(0.0, self.span)
--- a/curlewhall/relay/nodes.py
+++ b/curlewhall/relay/nodes.py
@@ -12,9 +12,10 @@
 from curlewhall.words import report_of
 
 from . import rtsp
+from .decide import Silences, WaysIn
 
 PROBE = 0.25  # seconds for a report; several times what a sound node takes
-QUIET = 3.0  # seconds without a word from a node with sessions until a new connection shows whether it lives
+QUIET = 3.0  # seconds without a word from a node, two attempts failed, until its sessions are taken for over
 SURE = 2  # attempts in a row to reach a node that must fail before its sessions are taken for ended
 PAUSES = (0.1, 0.5, 1.0)  # before it is tried again
 WAIT = 0.5  # seconds for last words of a node that the list calls gone
@@ -60,6 +61,8 @@
             return
         self.settled = True
         self.limit.cancel()
+        if how == "late":
+            self.nodes.silences.doubt(self.node.row.zone, time.monotonic())
         if self.road is not None:
             self.road.asks.pop(self.play, None)
             self.road.used = time.monotonic()
@@ -113,6 +116,8 @@
         self.streams = max(1, int(driver.card.get("permissions.streams_per_conn", 1)))
         self.probes, self.seed = 0, seed & 0xFFFFFFFF
         self.closed = False
+        self.silences = Silences(LOOK, SURE, self.connect_limit)
+        self.ways_in = WaysIn(seed, driver.card.get("fronts", 1))
         timers.after(LOOK, self.look)
 
     # ---- the list
@@ -223,6 +228,8 @@
         came_up = line.reading
         if not came_up:
             node.missed += 1
+        if why == "unreached":
+            self.silences.doubt(node.row.zone, time.monotonic())
         for name in list(road.probes):
             self.probe_ended(road, name, "unreached" if not came_up else "broken", {})
         for ask in list(road.asks.values()):
@@ -278,7 +285,8 @@
             if node.standing and node.row.state != "gone":
                 if not node.roads:
                     self.keep(node)
-                elif now - node.heard > QUIET and all(r.line.open for r in node.roads):
+                elif (now - node.heard > self.silences.allowed(node.row.zone, now)
+                      and all(r.line.open for r in node.roads)):
                     self.road(node)
         if not self.closed:
             self.timers.after(LOOK, self.look)
@@ -495,7 +503,8 @@
         if node is None:
             return False
         node.standing[play] = self.driver.clock.now()
-        self.loop.call_soon(self.keep, node)
+        if not node.roads and node.pause is None:
+            node.pause = self.timers.after(self.ways_in.wait(), self.reach, node)
         return True
 
     def event(self, node: str, event) -> None:
--- a/curlewhall/relay/serve.py
+++ b/curlewhall/relay/serve.py
@@ -36,7 +36,7 @@
             raise card.Bad(f"the settings can't be used: {type(err).__name__}: {err}") from None
         self.driver.viewers, self.driver.nodes = self.viewers, self.nodes
         self.driver.peers, self.driver.moves = NoPeers(), NoMoves()
-        self.channel = Channel(self.driver, self.loop, self.timers, given.channel, log)
+        self.channel = Channel(self.driver, self.loop, self.timers, given.channel, log, given.seed)
         listener = listen(*given.address)
         self.channel.begin(given.known)
         self.channel.subscribe()
--- a/curlewhall/standins/platform.py
+++ b/curlewhall/standins/platform.py
@@ -174,6 +174,7 @@
     def __init__(self) -> None:
         self.events: list[tuple[int, str]] = []
         self.lines, self.calls, self.held, self.server = [], [], False, None
+        self.when = lambda: None  # called as each call comes
 
     async def start(self) -> None:
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -184,6 +185,7 @@
         fields = dict(line.lower().split(": ", 1) for line in head.decode().split("\r\n")[1:] if line)
         last = int(fields["last-event-id"])
         self.calls.append(last)
+        self.when()
         if not self.held:
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: here\n\n")
             for number, data in self.events:
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -7,7 +7,7 @@
 from loopback import looped
 from relay.town import town
 
-from curlewhall.relay import messages, nodes, viewers
+from curlewhall.relay import decide, messages, nodes, viewers
 from curlewhall.relay.messages import ANSWER, CAUSE, DESCRIPTION, RELEASE
 from curlewhall.standins.platform import SPOILT, release
 
@@ -256,6 +256,7 @@
     """Its open connection stays open and silent, and new ones never come up: its viewers are told."""
     monkeypatch.setattr(nodes, "QUIET", 0.2)
     monkeypatch.setattr(nodes, "LOOK", 0.05)
+    monkeypatch.setattr(decide, "KNOWN", 1.5)
     async with town(tmp_path, nodes=("n0", "n1"), permissions__idle_close_ms=1e7) as place:
         viewer, real = await place.platform.viewer(place.port), nodes.connect
         asked = [viewer.ask(at=f"n{i % 2}", patience="0") for i in range(4)]
--- a/tests/relay/test_relay_process.py
+++ b/tests/relay/test_relay_process.py
@@ -1,17 +1,20 @@
 """The process: what it loads, what it says of a bad configuration, how it leaves."""
 
+import asyncio
 import json
 import os
 import signal
 import socket
 import subprocess
 import sys
+import time
 
 import pytest
-from loopback import poll
+from loopback import looped, poll
 from relay.town import free_port, settings
 
 from curlewhall.relay import card, messages
+from curlewhall.standins.platform import Platform
 
 HEAVY = ("matplotlib", "lxml", "jinja2", "rich", "structlog", "click", "google.protobuf", "crc32c",
          "zstandard", "prometheus_client", "psutil", "jwt", "yaml", "curlewhall.console", "curlewhall.moves",
@@ -24,8 +27,8 @@
     return {k: v for k, v in (plain | changes).items() if v is not None}
 
 
-def run(tmp_path, text, **variables):
-    file, port = tmp_path / "config.json", free_port()
+def run(tmp_path, text, file="config.json", **variables):
+    file, port = tmp_path / file, free_port()
     file.write_text(text)
     names = {"RELAY_CONFIG": str(file), "RELAY_LISTEN": f"127.0.0.1:{port}", "RELAY_NAME": "n0"} | variables
     names = {k: v for k, v in names.items() if v is not None}
@@ -119,3 +122,43 @@
     given = card.read({"RELAY_CONFIG": str(file)})
     assert given.viewers + given.nodes + card.RESERVE == sockets
     assert given.nodes >= 16 and given.viewers >= (sockets - card.RESERVE) // 3
+
+
+@looped
+async def test_eight_fronts_that_lose_the_channel_at_once(tmp_path):
+    """They come back, each in its own time; the drain told meanwhile reaches all; nobody goes there after."""
+    platform, fronts, back = Platform(), [], []
+    try:
+        nodes = [await platform.add(name) for name in ("n0", "n1")]
+        await platform.channel.start()
+        known = {"cursor": 1, "cmds": [{"cursor": 1, "nodes": {
+            "complete": True, "members": [platform.member(node.name) for node in nodes]}}]}
+        for i in range(8):
+            text = json.dumps(config(name=f"n{i}", seed=f"{i + 1:x}", known=known,
+                                     channel=f"127.0.0.1:{platform.channel.port}"))
+            fronts.append(await asyncio.to_thread(run, tmp_path, text, f"{i}.json", RELAY_NAME=f"n{i}"))
+        async with asyncio.timeout(60):
+            while len(platform.channel.lines) < 8:
+                await asyncio.sleep(0.01)
+            platform.channel.calls.clear()
+            platform.channel.when = lambda: back.append(time.monotonic())
+            platform.channel.hang_up()
+            lost = time.monotonic()
+            platform.channel.tell(2, [platform.member("n0", "draining")])
+            while len(platform.channel.lines) < 8:
+                await asyncio.sleep(0.01)
+        assert platform.channel.calls == [1] * 8
+        # 0.05 to 0.25 s here, drawn: fixed pauses would bring all eight in one moment
+        assert back[-1] - back[0] > 0.05 and back[0] - lost > 0.04
+        viewers = [await platform.viewer(port) for _, port in fronts]
+        for viewer in viewers * 3:
+            heard = await viewer.hear(viewer.ask())
+            assert heard.kind in (messages.ANSWER, messages.RELEASE)
+        assert not [row for row in platform.of("set-up") if row[0] == "n0"]
+        assert [row for row in platform.of("set-up") if row[0] == "n1"]
+    finally:
+        for process, _ in fronts:
+            process.kill()
+        for process, _ in fronts:
+            process.communicate()
+        platform.close()
