--- a/curlewhall/front/driver.py
+++ b/curlewhall/front/driver.py
@@ -188,6 +188,12 @@
             return
         held.playing, held.node, held.began = number, node, self.clock.now()
         self.keeper.playing(held.facts.play, number + held.offset)
+        first = not held.answered
+        if first:
+            # Danger: while the module reckons, the play may end at its node before its viewer knows of it.
+            # The answer needs nothing that the module says to a first frame, so it leaves before.
+            self.close(held, "played")
+            self.viewers.play(held, number + held.offset)
         self.log.info("first frame", play=held.facts.play, allocation=number, node=node, rung=held.rung,
                       took_ms=span / 10)
         self.hear("first_frame", held.facts.play, number, node, span)
@@ -195,9 +201,7 @@
             if kind in report:
                 self.hear("note", held.facts.play, number, node, kind, report[kind])
                 self.moves.report(node, kind, report[kind])
-        if not held.answered:
-            self.close(held, "played")
-            self.viewers.play(held, number + held.offset)
+        if first:
             if self.heir is not None:
                 self.heir.passed(held)
             self.moves.playing(held)
--- a/tests/front/test_driver.py
+++ b/tests/front/test_driver.py
@@ -89,6 +89,15 @@
     assert rig.module.names().count("ended") == 1 and not rig.driver.plays
 
 
+@looped
+async def test_the_answer_leaves_before_the_module_reckons_with_the_first_frame():
+    rig, heard = Rig(), []
+    rig.viewers.says["play"] = lambda *_: heard.append(list(rig.module.names()))
+    rig.ask(ALLOCATE)
+    rig.driver.set_up_ended(rig.held, 0, "n", "ok", 0.1, {})
+    assert heard == [["asked"]] and rig.module.names() == ["asked", "first_frame"]
+
+
 @looped
 async def test_a_module_that_says_nothing_is_answered_for_at_the_limit():
     rig = Rig(limit=20)
