The judge puts every request in one bin; one without an end on record breaks rule 1

Viewers in flight now wait until the limit; one told to end hangs up on record; summary counts answered, unanswered, hung_up, lost_with_front, not_taken (new) by the judge's own rule, and they add up.

--- a/curlewhall/rules/judge.py
+++ b/curlewhall/rules/judge.py
@@ -5,7 +5,7 @@
 """
 
 from bisect import bisect_left, bisect_right
-from collections import defaultdict, deque
+from collections import Counter, defaultdict, deque
 from collections.abc import Iterable
 from typing import Any, NamedTuple
 
@@ -16,6 +16,7 @@
 DRAIN_SLACK = 1500  # from the list service's write to the front's reading it, and on to the node
 WINDOW_SLACK = 500  # each end of the budget's window, as seen from elsewhere
 LAG_SLACK, MOST_LAG = 3, 20_000  # times the lateness that the recorders tell of themselves; at most
+FATES = ("answered", "unanswered", "hung_up", "lost_with_front", "not_taken")  # each request is in one
 CROWD_SLACK = 1  # set-ups: budgets are fractions, set-ups are whole
 
 
@@ -97,25 +98,45 @@
 
 def answers(by_what: dict, late: Lateness) -> Iterable[Broken]:
     """Rule 1: each request that a running front took has one answer, in time."""
+    for ask, got, fate, end in fates(by_what):
+        due = ask["t"] + ask["limit"]
+        if len(got) > 1:
+            yield Broken("1", got[1]["t"], "answered twice", [ask, *got])
+        elif got and got[0]["t"] > due + ANSWER_SLACK + late.about(due):
+            yield Broken("1", got[0]["t"], f"answered {(got[0]['t'] - due) / 10:.0f} ms after the time limit",
+                         [ask, *got])
+        elif fate == "unanswered":
+            how = end["how"] if end else "and no end on record"
+            yield Broken("1", due, f"no answer ({how})", [ask, end] if end else [ask])
+
+
+def fates(by_what: dict) -> Iterable[tuple[Record, list[Record], str, Record | None]]:
+    """Each request with its answers, what became of it, and the record of its end without an answer.
+
+    `answered`; `hung_up`, the viewer left before its limit; `not_taken`, no front accepted it;
+    `lost_with_front`, a killed front held it; `unanswered`, all else. Danger: a request with no end on record
+    would be nobody's: viewers write one for each, also when the day ends, so it is `unanswered`.
+    """
     answered = defaultdict(list)
     for row in by_what["answer"]:
         answered[row["ask"]].append(row)
     ended = {row["ask"]: row for what in ("no_answer", "hung_up") for row in by_what[what]}
     killed = lives(by_what)
     for ask in by_what["ask"]:
-        due, got = ask["t"] + ask["limit"], answered[ask["ask"]]
-        if len(got) > 1:
-            yield Broken("1", got[1]["t"], "answered twice", [ask, *got])
-        elif got and got[0]["t"] > due + ANSWER_SLACK + late.about(due):
-            yield Broken("1", got[0]["t"], f"answered {(got[0]['t'] - due) / 10:.0f} ms after the time limit",
-                         [ask, *got])
-        elif not got:
-            end = ended.get(ask["ask"])
-            if end is None or end["what"] == "hung_up" or end["how"] in ("unreached", "not_sent"):
-                continue  # the day ended, the viewer left, or no front took it
-            if lost_with_front(ask, killed):
-                continue  # what a killed front held is no longer its duty
-            yield Broken("1", due, f"no answer ({end['how']})", [ask, end])
+        got, end = answered[ask["ask"]], ended.get(ask["ask"])
+        if got:
+            fate = "answered"
+        elif end is None:
+            fate = "unanswered"
+        elif end["what"] == "hung_up":
+            fate = "hung_up"
+        elif end["how"] in ("unreached", "not_sent"):
+            fate = "not_taken"
+        elif lost_with_front(ask, killed):
+            fate = "lost_with_front"  # what a killed front held is no longer its duty
+        else:
+            fate = "unanswered"
+        yield ask, got, fate, end
 
 
 def duplicates(rows: list[Record], terms: Terms, late: Lateness) -> Iterable[Broken]:
@@ -285,10 +306,10 @@
     rows = list(records)
     asks = {row["ask"]: row for row in rows if row["what"] == "ask"}
     status = {row["ask"]: row for row in rows if row["what"] == "answer"}
-    killed = lives({"killed": [row for row in rows if row["what"] == "killed"]})
-    no_answer = [row for row in rows if row["what"] == "no_answer"
-                 and row["how"] not in ("unreached", "not_sent")]
-    excused = sum(lost_with_front(asks[row["ask"]], killed) for row in no_answer)
+    by_what: dict[str, list[Record]] = defaultdict(list)
+    for row in rows:
+        by_what[row["what"]].append(row)
+    became = Counter(fate for _, _, fate, _ in fates(by_what))
     counts = {code: sum(row["status"] == code for row in status.values()) for code in (200, 502, 503)}
     firsts = [row for row in asks.values() if row["first"]]
     offered = sum(row["importance"] for row in firsts) or 1
@@ -298,11 +319,10 @@
     wanted = sum(row["importance"] * row["wanted"] for row in firsts) or 1
     earned = sum(row["importance"] * max(0.0, row["worth"] - 2 * row["stalled"]) for row in watched)
     seen = sum(row["seen"] for row in watched) or 1
-    return {"plays": len(asks), "answered": len(status), "served": counts[200], "declined": counts[503],
-            "failed": counts[502], "unanswered": len(no_answer) - excused,
-            "lost_with_front": excused,
+    return {"plays": len(by_what["ask"]), **{fate: became[fate] for fate in FATES},
+            "served": counts[200], "declined": counts[503], "failed": counts[502],
             "lag_ms": max((row["span"] for row in rows if row["what"] == "lag"), default=0) / 10,
-            "hung_up": sum(row["what"] == "hung_up" for row in rows), "service": round(served / offered, 4),
+            "service": round(served / offered, 4),
             "worth": round(earned / wanted,
                            4), "stalled_share": round(sum(r["stalled"] for r in watched) / seen, 4),
             "wrong_segments": sum(row["wrong"] for row in watched)}
--- a/curlewhall/standins/crowd.py
+++ b/curlewhall/standins/crowd.py
@@ -54,6 +54,8 @@
                        for f in plan["fronts"]]
         self.nodes: dict[tuple[str, int], Pool] = {}
         self.tasks: set[asyncio.Task] = set()
+        self.out: set[asyncio.Task] = set()  # viewers who wait for a front's answer
+        self.over = False
         self.watching = self.count = 0
 
     def draw(self, special: dict) -> dict:
@@ -87,7 +89,9 @@
             task.add_done_callback(self.tasks.discard)
         left = begin + self.crowd["seconds"] + self.crowd["after"] - self.loop.time()
         await asyncio.sleep(max(0.0, left))
-        for task in list(self.tasks):
+        # Danger: of a request that is cut off when the day ends nobody could tell what became of it.
+        self.over = True
+        for task in self.tasks - self.out:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
         self.records.close()
@@ -129,7 +133,7 @@
                  "viewer": who["viewer"], "title": who["title"], "customer": who["customer"],
                  "wanted": who["life"], "top": who["top"]}
         self.records.write("viewer", "ask", **facts)
-        reply = await pool.fetch(request_bytes("GET", target, pool.host), patience or limit / 1000 + GRACE)
+        reply = await self.waiting(pool, target, ask, name, patience, limit)
         if reply.ending == "ok":
             status, play, plan = reply.message.status, reply.message.headers.get("curlewhall-play", ""), None
             if status == 200:
@@ -142,11 +146,31 @@
                     play = msgspec.json.decode(reply.message.body).get("play", "")
             self.records.write("viewer", "answer", ask=ask, front=name, status=status, play=play,
                                product=product["name"], took=int(reply.took * 10_000))
-            return plan, play
+            return self.unless_over(plan, play)
         what = "hung_up" if patience and reply.ending == "late" else "no_answer"
         self.records.write("viewer", what, ask=ask, front=name, how=reply.ending,
                            took=int(reply.took * 10_000))
-        return None, ""
+        return self.unless_over(None, "")
+
+    def unless_over(self, plan, play: str):
+        """What a request came to; after the day's end nobody goes on."""
+        if self.over:
+            raise asyncio.CancelledError
+        return plan, play
+
+    async def waiting(self, pool: Pool, target: str, ask: str, name: str, patience: float | None, limit: int):
+        """The reply to a request. A viewer who is told to end meanwhile hangs up, and that goes on record."""
+        task, began = asyncio.current_task(), self.loop.time()
+        self.out.add(task)
+        try:
+            return await pool.fetch(request_bytes("GET", target, pool.host), patience or limit / 1000 + GRACE)
+        except asyncio.CancelledError:
+            took = self.loop.time() - began
+            what = "hung_up" if took < limit / 1000 else "no_answer"
+            self.records.write("viewer", what, ask=ask, front=name, how="over", took=int(took * 10_000))
+            raise
+        finally:
+            self.out.discard(task)
 
     def pool(self, base: str) -> Pool:
         address, _, port = base.split("/")[2].rpartition(":")
--- a/tests/rules/test_judge.py
+++ b/tests/rules/test_judge.py
@@ -4,7 +4,7 @@
 
 from curlewhall import records
 from curlewhall.rules import Terms, judge
-from curlewhall.rules.judge import summary
+from curlewhall.rules.judge import FATES, summary
 
 S = 10_000
 TERMS = Terms(frozenset({"paid"}), {"paid": 1, "plain": 0}, {"paid": 2, "plain": 0}, S, S, 4.0, 0.4, 5 * S,
@@ -64,7 +64,10 @@
     "its front was killed": ("", [ask(0), drill(S, "killed"), none(S, "broken")]),
     "another front was killed": ("1", [ask(0), drill(S, "killed", "b"), none(S, "broken")]),
     "killed long after": ("1", [ask(0), none(4 * S), drill(9 * S, "killed")]),
-    "the day ended": ("", [ask(0)]),
+    "no end on record": ("1", [ask(0)]),
+    "no end on record, its front killed": ("1", [ask(0), drill(S, "killed")]),
+    "the viewer was told to end": ("", [ask(0), none(S, "over", "hung_up")]),
+    "told to end past its limit": ("1", [ask(0), none(4 * S, "over")]),
     "one after the other": ("", [setup(0), end(S), setup(S + 1, "m", number=1)]),
     "written the wrong way round": ("", [setup(0), setup(S, "m", number=1), end(S + 900)]),
     "two out": ("2", [setup(0), setup(S, "m", number=1), end(2 * S)]),
@@ -106,16 +109,17 @@
                               *rushed(32, front="b")]),
     "a warm node": ("", [start(9 * S, cold=True), told(99 * S, "serving", started=1), *rushed(40)]),
     "as many as are borne": ("", [start(99 * S), told(99 * S, "serving", started=1), *rushed(16)]),
-    "within the budget": ("", [ask(i, f"v{i}/0") for i in range(10)] + [setup(S, number=1, play="a"),
-                                                                         setup(S, number=1, play="b")]),
+    "within the budget": ("", [row for i in range(10) for row in (
+        ask(i, f"v{i}/0"), answer(i + 20, ask=f"v{i}/0"))] + [setup(S, number=1, play=q) for q in "ab"]),
     "a worker's budget": ("", [row for i in range(10) for row in (
         ask(i, f"v{i}/0"), answer(i + 20, ask=f"v{i}/0", play=f"a-w1-7f-{i}"))] + [
         setup(S, number=1, play=f"a-w1-7f-{i}", front="a-w1") for i in range(2)]),
     "another worker's budget": ("6", [row for i in range(10) for row in (
         ask(i, f"v{i}/0"), answer(i + 20, ask=f"v{i}/0", play=f"a-w0-7f-{i}"))] + [
         setup(S, number=1, play=f"a-w1-7f-{i}", front="a-w1") for i in range(2)]),
-    "over the budget": ("6", [ask(i, f"v{i}/0") for i in range(10)] + [setup(S, number=1, play=f"q{i}")
-                                                                        for i in range(3)]),
+    "over the budget": ("6", [row for i in range(10) for row in (
+        ask(i, f"v{i}/0"), answer(i + 20, ask=f"v{i}/0"))] + [setup(S, number=1, play=f"q{i}")
+                                                              for i in range(3)]),
     "over the budget, long ago": ("", [setup(S, number=1, play="a"), setup(12 * S, number=1, play="b")]),
 }
 
@@ -136,6 +140,17 @@
     assert (found["service"], found["plays"], found["unanswered"], found["declined"]) == (0.5, 5, 1, 1)
 
 
+def test_every_request_is_in_one_bin_and_the_bins_add_up():
+    rows = [ask(0, "a/0"), answer(S, ask="a/0"), answer(S + 1, ask="a/0"), ask(0, "b/0"),
+            none(S, what="hung_up", ask="b/0"), ask(0, "c/0"), none(S, "unreached", ask="c/0"), ask(0, "d/0"),
+            none(S, "not_sent", ask="d/0"), ask(0, "e/0", front="b"), drill(S, "killed", "b"),
+            none(S, "broken", ask="e/0"), ask(0, "f/0"), none(4 * S, ask="f/0"), ask(0, "g/0")]
+    found = summary(rows)
+    assert {fate: found[fate] for fate in FATES} == {"answered": 1, "unanswered": 2, "hung_up": 1,
+                                                     "lost_with_front": 1, "not_taken": 2}
+    assert sum(found[fate] for fate in FATES) == found["plays"] == 7
+
+
 def test_records_are_read_as_written_and_a_torn_end_is_left_out(tmp_path):
     path = tmp_path / "r"
     writer = records.Writer(path)
