start/: fronts draw when they ask the list service, and have a kept list confirmed

Every front asked for the whole list at once though it had it on disk (Follower.start set the version to 0), and came back after 0.2, 0.5, 1, 2 s like all others. start/decide.py, free of I/O, says when and for what; the service names its life, in which versions count, so that a kept list is confirmed by a line without rows; Retry-After is kept and spread; /v1/state tells. Found on the way: a checksum over seed and counter is linear, and of 200 fronts drawn apart once 61 met again in a tenth of a second at the second wait. Waits are drawn by random.Random now, the relay's too (relay/decide.py shares them).

--- a/curlewhall/front/listing.py
+++ b/curlewhall/front/listing.py
@@ -4,8 +4,10 @@
 import time
 from collections.abc import Callable
 from pathlib import Path
+from urllib.parse import quote
 
 from curlewhall.inventory.form import Inventory
+from curlewhall.start.decide import Asks
 from curlewhall.wire import forms
 from curlewhall.wire.client import Pool, Reply
 from curlewhall.wire.http import request_bytes
@@ -14,39 +16,50 @@
 from .nodes import module_row
 
 SILENT = 5.0  # seconds without a line, ticks included, after which a stream is taken for dead
-PAUSES = (0.2, 0.5, 1.0, 2.0)
 STATES = ("serving", "draining", "gone")
 
 
 class Follower:
-    """One subscription, asked for again with growing pauses while it can't be had."""
+    """One subscription, asked for again with growing pauses while it can't be had (`start.decide`)."""
 
-    def __init__(self, driver: Driver, pool: Pool | None, front: str, kept: str = "") -> None:
+    def __init__(self, driver: Driver, pool: Pool | None, front: str, kept: str = "", seed: int = 0) -> None:
         self.driver, self.pool, self.front, self.kept = driver, pool, front, kept
         self.rows: dict[str, forms.Row] = {}
         self.titles: dict[str, forms.Title] = {}
-        self.version, self.tries = 0, 0
+        self.asks = Asks(seed, driver.card.get("fronts", 1))
         self.lines, self.stream, self.silence, self.failing = forms.Lines(), None, None, False
         self.spoken, self.watcher = False, None  # whether the service has; the operators' files
         self.leaving = False  # the successor follows; what it hears is told to this front
         self.tell: Callable[[forms.Listing], None] | None = None  # a predecessor that hears through this one
         self.spread: Callable | None = None  # tells the other workers what an operator told this one
+        self.turn = None  # when it is asked next
         self.drained: set[str] = set()  # by this front's operator, whatever the list says
 
+    @property
+    def version(self) -> int:
+        """The version of the list that this front goes by; 0: none that could be confirmed."""
+        return self.asks.version
+
+    @version.setter
+    def version(self, version: int) -> None:
+        self.asks.version = version
+
     def start(self) -> None:
         """Believe the kept list, if there is one, until the service says more; then subscribe."""
+        life = ""
         if self.kept and os.path.exists(self.kept) and not self.rows:
             try:
                 old = forms.decode(forms.Listing, Path(self.kept).read_bytes())
                 self.take(old, "old_copy")
+                life = old.life
                 self.driver.log.info("kept list read", nodes=len(old.rows), version=old.version)
             except (OSError, forms.Malformed) as err:
                 self.driver.log.warning("the kept list can't be read", why=str(err))
-        self.version = 0  # what was kept may be of another life of the service: ask for all
+        wait = self.asks.begin(life, self.version)
         if self.watcher is not None:
             self.watcher.start()
         if self.pool is not None:
-            self.subscribe()
+            self.turn = self.driver.timers.after(wait, self.subscribe)
 
     def as_inventory(self) -> Inventory | None:
         """What this front goes by now; None where it knows nothing yet."""
@@ -65,8 +78,12 @@
         self.take(forms.Listing("whole", self.version + 1 if self.pool is None else 0, 0, rows, titles), how)
 
     def subscribe(self) -> None:
+        self.turn = None
+        if self.leaving or self.pool.closed:
+            self.stream = None
+            return
         self.lines = forms.Lines()
-        target = f"/v1/list?front={self.front}&have={self.version}"
+        target = f"/v1/list?front={self.front}&have={self.version}&life={quote(self.asks.life, safe='')}"
         self.stream = self.pool.ask(request_bytes("GET", target, self.pool.host), 86_400.0, self.ended,
                                     tell=self.told)
         self.listen()
@@ -88,15 +105,18 @@
             self.driver.timers.after(0, self.stream.withdraw)
 
     def line(self, listing: forms.Listing) -> None:
-        self.tries, self.failing, self.spoken = 0, False, True
+        self.failing, self.spoken = False, True
         if listing.how == "whole":
+            self.asks.whole(listing.life, listing.version)
             self.take(listing, "whole")
-        elif listing.how == "changes" and listing.since == self.version and self.version:
+        elif listing.how != "changes":
+            self.asks.tick()
+        elif self.asks.follows(listing.life, listing.since, listing.version):
             self.take(listing, "changes")
-        elif listing.how == "changes" and listing.version > self.version:
+        elif listing.version > self.version or listing.life not in ("", self.asks.life):
             # Danger: a change built on one never seen. A gap is closed by the whole list.
             self.driver.log.warning("a gap in the list", have=self.version, since=listing.since)
-            self.version = 0
+            self.asks.gap()
             self.driver.timers.after(0, self.stream.withdraw)
 
     def take(self, listing: forms.Listing, how: str) -> None:
@@ -169,6 +189,8 @@
         if self.pool is None:
             return
         if self.stream is None:
+            if self.turn is not None:
+                self.turn.cancel()
             self.subscribe()
         else:
             self.listen()
@@ -178,7 +200,7 @@
         if not self.kept or self.leaving:
             return
         rows = [row for row in self.rows.values() if row.state != "gone"]
-        whole = forms.Listing("whole", self.version, 0, rows, list(self.titles.values()))
+        whole = forms.Listing("whole", self.version, 0, rows, list(self.titles.values()), self.asks.life)
         try:
             Path(self.kept + ".new").write_bytes(forms.encode(whole))
             os.replace(self.kept + ".new", self.kept)
@@ -195,11 +217,19 @@
             self.failing = True
             self.driver.listed("failed", [])
             self.driver.log.warning("the list service is out of reach", how=reply.ending)
-        pause = PAUSES[min(self.tries, len(PAUSES) - 1)]
-        self.tries += 1
-        self.driver.timers.after(pause, self.subscribe)
+        shed = reply.message is not None and reply.message.status == 503
+        after = reply.message.headers.get("retry-after", "") if shed else ""
+        seconds = float(after) if after.isascii() and after.isdigit() else None
+        self.turn = self.driver.timers.after(self.asks.ended(seconds), self.subscribe)
+
+    def state(self) -> dict:
+        """For `/v1/state`: what the front goes by, and whether the service has said so in this process."""
+        return {"version": self.version, "life": self.asks.life, "confirmed": self.spoken,
+                "reached": self.spoken and not self.failing}
 
     def close(self) -> None:
+        if self.turn is not None:
+            self.turn.cancel()
         if self.watcher is not None:
             self.watcher.close()
         if self.pool is not None:
--- a/curlewhall/front/serve.py
+++ b/curlewhall/front/serve.py
@@ -96,7 +96,7 @@
                 lambda: sum(len(plays) for plays in self.driver.moves.mover.at.values()))
         service = None if not file.HasField("list_service") else Pool(
             self.loop, self.timers, file.list_service.address, file.list_service.port)
-        self.follower = Follower(self.driver, service, name, file.list_service.kept_file)
+        self.follower = Follower(self.driver, service, name, file.list_service.kept_file, seed)
         self.viewers.follower = self.follower
         self.open_store()
         drain_within = 10 * (file.moves.drain_within_ms or 30_000)
--- a/curlewhall/front/viewers.py
+++ b/curlewhall/front/viewers.py
@@ -240,6 +240,7 @@
                 "held": sum(held.playing is not None for held in driver.plays.values()),
                 "setting_up": sum(bool(held.out) for held in driver.plays.values()),
                 **({"members": driver.peers.members.state()} if driver.peers.members is not None else {}),
+                **({"list": self.follower.state()} if self.follower is not None else {}),
                 "nodes": driver.nodes.state()}
 
 
--- a/curlewhall/relay/decide.py
+++ b/curlewhall/relay/decide.py
@@ -4,7 +4,7 @@
 they do not come back in step; each wait ends before it can cost a rule. Times are seconds; no clock is read.
 """
 
-from zlib import crc32
+from curlewhall.start.decide import Draw, Waits
 
 MOST = 0.4  # the longest wait for the channel; a break counts as told after 2 s, and five asks fit in
 STEADY = 1.0  # a stream that told something for so long was sound: its end is no try that failed
@@ -15,17 +15,6 @@
 DOUBTED = 3.0  # how long a node may be silent where a machine may have vanished
 
 
-class Draw:
-    """Numbers from a seed and a counter."""
-
-    def __init__(self, seed: int, what: str) -> None:
-        self.seed, self.what, self.count = seed, what, 0
-
-    def between(self, low: float, high: float) -> float:
-        self.count += 1
-        return low + (high - low) * crc32(f"{self.seed}:{self.what}:{self.count}".encode()) / 2**32
-
-
 class Returns:
     """The waits of one front before it asks the channel again.
 
@@ -37,21 +26,18 @@
 
     def __init__(self, seed: int, grace: float, fronts: int) -> None:
         self.draw, self.fronts = Draw(seed, "channel"), max(1, fronts)
-        self.least = max(0.001, min(MOST, 0.1 * grace))
-        self.first = max(self.least, min(MOST, 0.5 * grace))
-        self.last = 0.0
+        least = max(0.001, min(MOST, 0.1 * grace))
+        self.waits = Waits(self.draw, least, max(least, min(MOST, 0.5 * grace)), MOST)
 
     def broken(self, told_for: float) -> float:
         """The wait after a stream that told something for so long, 0 for an ask that came to nothing."""
-        if told_for >= STEADY or not self.last:
-            self.last = self.draw.between(self.least, self.first)
-        else:
-            self.last = self.draw.between(self.least, min(MOST, 3 * self.last))
-        return self.last
+        if told_for >= STEADY:
+            self.waits.anew()
+        return self.waits.next()
 
     def heard(self) -> None:
         """An event came: the next break is a new one."""
-        self.last = 0.0
+        self.waits.anew()
 
     def moved(self) -> float:
         """The wait after a new configuration, which all fronts get at once: 4 s are allowed."""
--- a/curlewhall/standins/listservice.py
+++ b/curlewhall/standins/listservice.py
@@ -22,6 +22,8 @@
         self.streams: dict[str, Exchange] = {}
         self.stale, self.count, self.order = 0.0, 0, 0.0
         self.server: Server | None = None
+        self.life, self.lives = "life-1", 1
+        self.capacity, self.second, self.taken = 0.0, 0, 0  # whole lists a second; 0: no bound
 
     def start(self) -> None:
         where = self.plan["list_service"]
@@ -29,10 +31,20 @@
         self.tick()
 
     def fault(self, kind: str, value: float) -> None:
-        """`down` takes the service out of reach, `stale` makes it lag by so many seconds more."""
+        """`down` takes the service out of reach, `stale` makes it lag by so many seconds more, `capacity`
+        bounds the whole lists that it sends in a second, `life` gives it a new life: versions begin again.
+        """
         self.records.write("list", "fault", kind=kind, value=value)
         if kind == "stale":
             self.stale = value
+        elif kind == "capacity":
+            self.capacity = value
+        elif kind == "life":
+            self.lives += 1
+            self.life, self.version, self.changes = f"life-{self.lives}", 1, []
+            for stream in list(self.streams.values()):
+                stream.finish()
+            self.streams.clear()
         elif kind == "down" and value and self.server is not None:
             server, self.server = self.server, None
             self.streams.clear()
@@ -57,7 +69,7 @@
         since, self.version = self.version, self.version + 1
         self.changes = [*self.changes, (self.version, row)][-KEPT:]
         for front in list(self.streams):
-            self.send(front, forms.Listing("changes", self.version, since, [row]))
+            self.send(front, forms.Listing("changes", self.version, since, [row], life=self.life))
 
     def handle(self, exchange: Exchange) -> None:
         url = urlsplit(exchange.request.target)
@@ -66,18 +78,34 @@
         if url.path != "/v1/list" or not front or not have.isdigit():
             exchange.reply(404)
             return
+        missed = [(version, row) for version, row in self.changes if version > int(have)]
+        known = int(have) and query.get("life", "") == self.life and len(missed) == self.version - int(have)
+        if not known and self.full():
+            self.records.write("list", "shed", front=front)
+            exchange.reply(503, {"retry-after": "1"})
+            return
         old = self.streams.pop(front, None)
         if old is not None:
             old.finish()
         self.streams[front] = exchange
         exchange.gone = lambda: self.streams.get(front) is exchange and self.streams.pop(front)
         exchange.start(200, {"content-type": "application/jsonl"})
-        missed = [(version, row) for version, row in self.changes if version > int(have)]
-        if int(have) and len(missed) == self.version - int(have):
+        if known and not missed:
+            self.send(front, forms.Listing("changes", self.version, self.version, life=self.life))
+        elif known:
             for version, row in missed:
-                self.send(front, forms.Listing("changes", version, version - 1, [row]))
+                self.send(front, forms.Listing("changes", version, version - 1, [row], life=self.life))
         else:
-            self.send(front, forms.Listing("whole", self.version, 0, list(self.rows.values()), self.titles))
+            self.send(front, forms.Listing("whole", self.version, 0, list(self.rows.values()), self.titles,
+                                           self.life))
+
+    def full(self) -> bool:
+        """Whether this second's whole lists are given out."""
+        now = int(self.loop.time())
+        if now != self.second:
+            self.second, self.taken = now, 0
+        self.taken += 1
+        return 0 < self.capacity < self.taken
 
     def send(self, front: str, listing: forms.Listing) -> None:
         self.records.write("list", "told", front=front, how=listing.how, version=listing.version,
--- a/curlewhall/wire/forms.py
+++ b/curlewhall/wire/forms.py
@@ -114,13 +114,18 @@
 
 
 class Listing(msgspec.Struct, frozen=True, omit_defaults=True):
-    """A line of GET /v1/list?front=NAME&have=VERSION. `how`: whole, changes (since `since`), tick."""
+    """A line of GET /v1/list?front=NAME&have=VERSION&life=LIFE.
+
+    `how`: whole, changes (since `since`; none, and the same version: what is had stands), tick. `life` names
+    the service's life, in which versions count.
+    """
 
     how: str
     version: int = 0
     since: int = 0
     rows: list[Row] = []
     titles: list[Title] = []
+    life: str = ""
 
 
 # What a list or an inventory may say; beyond it there is a slip, or nothing that can be reckoned with.
--- /dev/null
+++ b/tests/start/test_start_decide.py
@@ -0,0 +1,107 @@
+"""When fronts ask the list service: bounds, growth, and a fleet that does not fall into step."""
+
+import heapq
+from collections import Counter
+
+import pytest
+
+from curlewhall.start import Asks, Draw, Waits
+from curlewhall.start.decide import ASKED, BARE_IN_ALL, FIRST, KEPT_IN_ALL, LEAST, LONGEST, MOST
+
+
+@pytest.mark.parametrize(("life", "version", "fronts", "most", "asks"), [
+    ("", 0, 3, 0.015, ("", 0)), ("", 9, 3, 0.015, ("", 0)),  # of no life that is named: all is asked for
+    ("a", 9, 3, 0.06, ("a", 9)), ("a", 0, 3, 0.015, ("a", 0)),
+    ("", 0, 200, 1.0, ("", 0)), ("a", 9, 200, KEPT_IN_ALL, ("a", 9)), ("", 0, 5000, BARE_IN_ALL, ("", 0)),
+    ("a", 9, 5000, KEPT_IN_ALL, ("a", 9)), ("", 0, 0, 0.005, ("", 0)),
+])
+def test_the_first_ask(life, version, fronts, most, asks):
+    waits = []
+    for seed in range(200):
+        front = Asks(seed, fronts)
+        waits.append(front.begin(life, version))
+        assert (front.life, front.version) == asks
+    assert min(waits) >= 0 and most / 2 < max(waits) <= most
+
+
+@pytest.mark.parametrize(("life", "since", "version", "follows"), [
+    ("a", 5, 6, True), ("", 5, 6, True), ("a", 5, 5, True), ("b", 5, 6, False), ("a", 4, 6, False),
+    ("a", 6, 7, False), ("a", 0, 1, False)])
+def test_a_change_follows_only_on_what_is_had_in_the_same_life(life, since, version, follows):
+    front = Asks(1, 3)
+    front.whole("a", 5)
+    assert front.follows(life, since, version) is follows
+    assert (front.life, front.version) == ("a", version if follows else 5)
+    front.gap()
+    assert front.version == 0 and not front.follows("a", 0, 1)
+
+
+@pytest.mark.parametrize("fronts", [1, 200, 1000, 5000])
+def test_waits_grow_to_a_bound_and_start_anew(fronts):
+    front, most = Asks(3, fronts), min(LONGEST, max(MOST, 0.02 * fronts))
+    assert LEAST <= front.ended() <= FIRST
+    waits = [front.ended() for _ in range(300)]
+    assert min(waits) >= LEAST and FIRST < max(waits) <= most
+    front.tick()
+    assert LEAST <= front.ended() <= FIRST
+
+
+@pytest.mark.parametrize(("retry_after", "low", "high"), [
+    (0.0, 0.0, FIRST), (0.2, 0.2, 0.2 + FIRST), (1.0, 1.0, 2.0), (30.0, 30.0, 60.0), (1e9, ASKED, 2 * ASKED),
+    (-1.0, LEAST, FIRST), (float("nan"), LEAST, FIRST), (None, LEAST, FIRST)])
+def test_what_the_service_asks_for_is_kept_and_spread(retry_after, low, high):
+    waits = [Asks(seed, 200).ended(retry_after) for seed in range(200)]
+    assert low <= min(waits) and max(waits) <= high and max(waits) - min(waits) > (high - low) / 2
+
+
+def test_two_fronts_do_not_fall_into_step():
+    one, other = (Waits(Draw(seed, "x"), 0.1, 0.5, 2.0) for seed in (1, 2))
+    gaps = [abs(one.next() - other.next()) for _ in range(200)]
+    assert sum(gap < 0.01 for gap in gaps) < 20
+
+
+def test_fronts_drawn_apart_once_stay_apart():
+    """With a checksum for chance the second draws of 200 fronts were the first, moved by a few amounts."""
+    pairs = [(draw.between(0, 1), draw.between(0, 1)) for draw in (Draw(seed, "x") for seed in range(200))]
+    moved = Counter(round(second - first, 2) for first, second in pairs)
+    assert max(moved.values()) < 10
+
+
+def herd(fronts, capacity, make):
+    """A fleet without lists at a service that gives `capacity` whole lists a second and turns the others away
+    with Retry-After 1: most asks in a second, most in a tenth, when 99 in 100 had theirs.
+    """
+    due = [(wait, seed, ask) for seed in range(fronts) for wait, ask in [make(seed)]]
+    heapq.heapify(due)
+    seconds, tenths, given, got = Counter(), Counter(), Counter(), []
+    while due:
+        at, seed, ask = heapq.heappop(due)
+        seconds[int(at)] += 1
+        tenths[int(at * 10)] += 1
+        if given[int(at)] < capacity:
+            given[int(at)] += 1
+            got.append(at)
+        else:
+            heapq.heappush(due, (at + ask(), seed, ask))
+    return max(seconds.values()), max(tenths.values()), sorted(got)[int(0.99 * fronts) - 1]
+
+
+def drawn(fronts):
+    def make(seed):
+        front = Asks(seed, fronts)
+        return front.begin("", 0), lambda: front.ended(1.0)
+    return make
+
+
+def fixed(seed):
+    pauses = iter([0.2, 0.5, 1.0])
+    return 0.0, lambda: next(pauses, 2.0)
+
+
+@pytest.mark.parametrize(("fronts", "capacity"), [(10, 20), (200, 40), (1000, 100)])
+def test_a_herd_without_lists_gets_them_as_fast_as_the_service_gives(fronts, capacity):
+    _, tenth, until = herd(fronts, capacity, drawn(fronts))
+    _, tenth_before, until_before = herd(fronts, capacity, fixed)
+    assert tenth_before == fronts and tenth <= max(10, 0.3 * fronts)  # before: all in one tenth of a second
+    assert until <= 2.5 + 1.5 * fronts / capacity
+    assert until <= until_before + 2
