--- a/tests/front/test_front.py
+++ b/tests/front/test_front.py
@@ -368,7 +368,7 @@
 
 
 @looped
-async def test_a_disk_that_takes_no_list_holds_up_no_play_and_gets_the_latest_in_the_end(tmp_path, monkeypatch):
+async def test_a_disk_that_takes_no_list_holds_up_no_play_and_gets_the_latest_one(tmp_path, monkeypatch):
     free, written = threading.Event(), []
 
     def put(path, data):
