One model of the herd, one grouping of records, one span of a fleet; no behaviour moves

Found on a last read of the change. The modelled list service stood in bench/start.py and again in the tests of start/decide.py: the tests call the bench's, unrounded, with the same assertions. The judge and its summary each grouped the records by the same loop, and summary then filtered them again by hand: grouped(). A part for each front up to a bound was reckoned in four places of start/ and relay/decide.py: span().

--- a/bench/start.py
+++ b/bench/start.py
@@ -53,7 +53,7 @@
             heapq.heappush(due, (at + again(), seed, again))
     return {"asks_in_a_second": max(seconds.values()), "asks_in_a_tenth": max(tenths.values()),
             "asks": sum(seconds.values()), "wholes": sum(given.values()),
-            "current_99": round(sorted(current)[max(0, int(0.99 * fronts) - 1)], 2)}
+            "current_99": sorted(current)[max(0, int(0.99 * fronts) - 1)]}
 
 
 def main():
@@ -63,8 +63,9 @@
             for name, make, whole in (("earlier rule", fixed, True), ("drawn", drawn, True),
                                       ("drawn, deaf to Retry-After", deaf, True),
                                       ("drawn, lists kept", confirmed, False)):
-                rows.append({"fronts": fronts, "capacity": capacity, "rule": name,
-                             **herd(fronts, capacity, make, whole)})
+                found = herd(fronts, capacity, make, whole)
+                found["current_99"] = round(found["current_99"], 2)
+                rows.append({"fronts": fronts, "capacity": capacity, "rule": name, **found})
     folder = Path(__file__).parent / "results"
     (folder / "start.json").write_text(json.dumps(rows, indent=1) + "\n")
     heads = list(rows[0])
--- a/curlewhall/front/listing.py
+++ b/curlewhall/front/listing.py
@@ -87,7 +87,7 @@
 
     def subscribe(self) -> None:
         self.turn = None
-        if self.leaving or self.pool.closed:
+        if self.leaving:
             self.stream = None
             return
         self.lines = forms.Lines()
--- a/curlewhall/relay/decide.py
+++ b/curlewhall/relay/decide.py
@@ -4,7 +4,7 @@
 they do not come back in step; each wait ends before it can cost a rule. Times are seconds; no clock is read.
 """
 
-from curlewhall.start.decide import Draw, Waits
+from curlewhall.start.decide import Draw, Waits, span
 
 MOST = 0.4  # the longest wait for the channel; a break counts as told after 2 s, and five asks fit in
 STEADY = 1.0  # a stream that told something for so long was sound: its end is no try that failed
@@ -25,7 +25,7 @@
     """
 
     def __init__(self, seed: int, grace: float, fronts: int) -> None:
-        self.draw, self.fronts = Draw(seed, "channel"), max(1, fronts)
+        self.draw, self.span = Draw(seed, "channel"), span(APART, fronts, LONGEST)
         least = max(0.001, min(MOST, 0.1 * grace))
         self.waits = Waits(self.draw, least, max(least, min(MOST, 0.5 * grace)), MOST)
 
@@ -41,7 +41,7 @@
 
     def moved(self) -> float:
         """The wait after a new configuration, which all fronts get at once: 4 s are allowed."""
-        return self.draw.between(0.0, min(LONGEST, APART * self.fronts))
+        return self.draw.between(0.0, self.span)
 
 
 class Silences:
@@ -70,7 +70,7 @@
     """The waits until a young front has a connection to each node at which sessions were found."""
 
     def __init__(self, seed: int, fronts: int) -> None:
-        self.draw, self.span = Draw(seed, "way in"), min(IN_ALL, WAY_IN * max(1, fronts))
+        self.draw, self.span = Draw(seed, "way in"), span(WAY_IN, fronts, IN_ALL)
 
     def wait(self) -> float:
         """Danger: a fleet that starts at once meets each node with all its fronts in one moment. What ends
--- a/curlewhall/rules/judge.py
+++ b/curlewhall/rules/judge.py
@@ -60,9 +60,7 @@
 def judge(records: Iterable[Record], terms: Terms) -> list[Broken]:
     """Everything that is broken, the first first. `records` are in the order of their times."""
     rows = list(records)
-    by_what: dict[str, list[Record]] = defaultdict(list)
-    for row in rows:
-        by_what[row["what"]].append(row)
+    by_what = grouped(rows)
     late = Lateness(by_what["lag"])
     found = [*answers(by_what, late), *duplicates(rows, terms, late), *drains(rows, terms, late),
              *crowds(by_what, terms),
@@ -70,6 +68,14 @@
     return sorted(found, key=lambda broken: (broken.t, broken.rule))
 
 
+def grouped(rows: Iterable[Record]) -> dict[str, list[Record]]:
+    """Records by what they tell of, in their order; nothing is told of what has none."""
+    by_what: dict[str, list[Record]] = defaultdict(list)
+    for row in rows:
+        by_what[row["what"]].append(row)
+    return by_what
+
+
 class Lateness:
     """How late recorders were about a time: a process of a busy machine reads its sockets in its own
     order.
@@ -303,25 +309,22 @@
 
 def summary(records: Iterable[Record]) -> dict[str, Any]:
     """Counts and service of a day, from the viewers' records."""
-    rows = list(records)
-    asks = {row["ask"]: row for row in rows if row["what"] == "ask"}
-    status = {row["ask"]: row for row in rows if row["what"] == "answer"}
-    by_what: dict[str, list[Record]] = defaultdict(list)
-    for row in rows:
-        by_what[row["what"]].append(row)
+    by_what = grouped(records)
+    asks = {row["ask"]: row for row in by_what["ask"]}
+    status = {row["ask"]: row for row in by_what["answer"]}
     became = Counter(fate for _, _, fate, _ in fates(by_what))
     counts = {code: sum(row["status"] == code for row in status.values()) for code in (200, 502, 503)}
     firsts = [row for row in asks.values() if row["first"]]
     offered = sum(row["importance"] for row in firsts) or 1
     served = sum(row["importance"] for row in firsts if row["ask"] in status
                  and status[row["ask"]]["status"] == 200 and status[row["ask"]]["took"] <= row["target"])
-    watched = [row for row in rows if row["what"] == "watched"]
+    watched = by_what["watched"]
     wanted = sum(row["importance"] * row["wanted"] for row in firsts) or 1
     earned = sum(row["importance"] * max(0.0, row["worth"] - 2 * row["stalled"]) for row in watched)
     seen = sum(row["seen"] for row in watched) or 1
     return {"plays": len(by_what["ask"]), **{fate: became[fate] for fate in FATES},
             "served": counts[200], "declined": counts[503], "failed": counts[502],
-            "lag_ms": max((row["span"] for row in rows if row["what"] == "lag"), default=0) / 10,
+            "lag_ms": max((row["span"] for row in by_what["lag"]), default=0) / 10,
             "service": round(served / offered, 4),
             "worth": round(earned / wanted,
                            4), "stalled_share": round(sum(r["stalled"] for r in watched) / seen, 4),
--- a/curlewhall/start/decide.py
+++ b/curlewhall/start/decide.py
@@ -14,6 +14,11 @@
 ASKED = 30.0  # a Retry-After beyond it is taken for this: the front would be blind for longer than lists hold
 
 
+def span(part: float, fronts: int, most: float) -> float:
+    """Over how long a fleet does something: a part for each front, `most` for any number of them."""
+    return min(most, part * max(1, fronts))
+
+
 class Draw:
     """Numbers from a front's seed, for one use.
 
@@ -58,10 +63,9 @@
     """
 
     def __init__(self, seed: int, fronts: int) -> None:
-        fronts = max(1, fronts)
         self.draw = Draw(seed, "list")
-        self.bare, self.kept = min(BARE_IN_ALL, BARE * fronts), min(KEPT_IN_ALL, KEPT * fronts)
-        self.waits = Waits(self.draw, LEAST, FIRST, min(LONGEST, max(MOST, PART * fronts)))
+        self.bare, self.kept = span(BARE, fronts, BARE_IN_ALL), span(KEPT, fronts, KEPT_IN_ALL)
+        self.waits = Waits(self.draw, LEAST, FIRST, max(MOST, span(PART, fronts, LONGEST)))
         self.life, self.version = "", 0
 
     def begin(self, life: str, version: int) -> float:
@@ -81,9 +85,10 @@
     def follows(self, life: str, since: int, version: int) -> bool:
         """Whether a change follows on what is had; if so, it is had from now on. `gap` is yours to say."""
         self.waits.anew()
-        follows = life in ("", self.life) and 0 < since == self.version
-        self.version = version if follows else self.version
-        return follows
+        if life not in ("", self.life) or not 0 < since == self.version:
+            return False
+        self.version = version
+        return True
 
     def tick(self) -> None:
         """The service lives, and has nothing new."""
--- a/tests/start/test_start_decide.py
+++ b/tests/start/test_start_decide.py
@@ -1,10 +1,10 @@
 """When fronts ask the list service: bounds, growth, and a fleet that does not fall into step."""
 
-import heapq
 from collections import Counter
 
 import pytest
 
+from bench.start import drawn, fixed, herd
 from curlewhall.start import Asks, Draw, Waits
 from curlewhall.start.decide import ASKED, BARE_IN_ALL, FIRST, KEPT_IN_ALL, LEAST, LONGEST, MOST
 
@@ -67,41 +67,11 @@
     assert max(moved.values()) < 10
 
 
-def herd(fronts, capacity, make):
-    """A fleet without lists at a service that gives `capacity` whole lists a second and turns the others away
-    with Retry-After 1: most asks in a second, most in a tenth, when 99 in 100 had theirs.
-    """
-    due = [(wait, seed, ask) for seed in range(fronts) for wait, ask in [make(seed)]]
-    heapq.heapify(due)
-    seconds, tenths, given, got = Counter(), Counter(), Counter(), []
-    while due:
-        at, seed, ask = heapq.heappop(due)
-        seconds[int(at)] += 1
-        tenths[int(at * 10)] += 1
-        if given[int(at)] < capacity:
-            given[int(at)] += 1
-            got.append(at)
-        else:
-            heapq.heappush(due, (at + ask(), seed, ask))
-    return max(seconds.values()), max(tenths.values()), sorted(got)[int(0.99 * fronts) - 1]
-
-
-def drawn(fronts):
-    def make(seed):
-        front = Asks(seed, fronts)
-        return front.begin("", 0), lambda: front.ended(1.0)
-    return make
-
-
-def fixed(seed):
-    pauses = iter([0.2, 0.5, 1.0])
-    return 0.0, lambda: next(pauses, 2.0)
-
-
 @pytest.mark.parametrize(("fronts", "capacity"), [(10, 20), (200, 40), (1000, 100)])
 def test_a_herd_without_lists_gets_them_as_fast_as_the_service_gives(fronts, capacity):
-    _, tenth, until = herd(fronts, capacity, drawn(fronts))
-    _, tenth_before, until_before = herd(fronts, capacity, fixed)
-    assert tenth_before == fronts and tenth <= max(10, 0.3 * fronts)  # before: all in one tenth of a second
+    now, before = herd(fronts, capacity, drawn), herd(fronts, capacity, fixed)
+    tenth, until = now["asks_in_a_tenth"], now["current_99"]
+    # before: all in one tenth of a second
+    assert before["asks_in_a_tenth"] == fronts and tenth <= max(10, 0.3 * fronts)
     assert until <= 2.5 + 1.5 * fronts / capacity
-    assert until <= until_before + 2
+    assert until <= before["current_99"] + 2
