Links between processes fail one by one and in one direction; processes stand still

A front reaches the list service and each node by a port of its own; what comes there is carried on byte by byte and can be cut, stalled, delayed, slowed and reset, each direction alone; datagrams between fronts are cut, delayed, lost, repeated and reordered by the direction. A cut link swallows first segments (a queue of none, filled) and a link to a node that is down refuses, since a front takes a refusal for proof. Fronts are paused and woken.

Judge: a front is told once the list has come through its link; what a front has let go is read at its own side of the link (a cut hides it from the node). Pauses excuse what fell due in them and nothing else.

--- a/curlewhall/drills/__init__.py
+++ b/curlewhall/drills/__init__.py
@@ -10,12 +10,13 @@
 from .drain import drain, drain_cold, drain_crowd, drain_frozen_target, drain_rack
 from .inventory import inventory
 from .kill import kill
+from .links import links
 from .play import Day, run
 from .restart import leave, restart, steady
 
 DRILLS = {"badday": badday, "drain": drain, "drain-frozen-target": drain_frozen_target,
           "drain-cold": drain_cold, "drain-rack": drain_rack, "drain-crowd": drain_crowd,
           "kill": kill, "disk": disk, "inventory": inventory, "restart": restart, "steady": steady,
-          "leave": leave}
+          "leave": leave, "links": links}
 
 __all__ = ["DRILLS", "Day", "run"]
--- a/curlewhall/drills/fleet.py
+++ b/curlewhall/drills/fleet.py
@@ -97,6 +97,11 @@
     }
 
 
+def add_links(plan: dict) -> None:
+    """Every front reaches list service and nodes over links of its own, see `standins.links`."""
+    plan["links"] = {"port": PORT + 100}
+
+
 def settings(plan: dict, index: int) -> str:
     """The operator's file of one front, as text."""
     file = front_pb2.FrontFile()
@@ -110,7 +115,8 @@
         file.inventory.file = str(Path(plan["folder"]) / "fleet.yaml")
     else:
         file.list_service.address = plan["list_service"]["address"]
-        file.list_service.port = plan["list_service"]["port"]
+        file.list_service.port = plan["links"]["port"] + index if plan.get("links") else \
+            plan["list_service"]["port"]
         file.list_service.kept_file = str(Path(plan["folder"]) / f"{front['name']}.list")
     for pair, (address, port) in plan["relay"]["legs"].items():
         one, other = map(int, pair.split(":"))
@@ -247,6 +253,15 @@
             process.wait()
             self.records.write("drill", "killed", front=name)
 
+    def pause_front(self, name: str) -> None:
+        """SIGSTOP: it stands still, with its sockets open, and does not know of it."""
+        self.fronts[name].send_signal(signal.SIGSTOP)
+        self.records.write("drill", "paused", front=name)
+
+    def wake_front(self, name: str) -> None:
+        self.records.write("drill", "woken", front=name)
+        self.fronts[name].send_signal(signal.SIGCONT)
+
     def console_back(self, index: int) -> float:
         """Seconds until a front's console shows its first page."""
         front, began = self.plan["fronts"][index], time.monotonic()
@@ -388,6 +403,7 @@
         running = [p for p in [self.crowd, *self.fronts.values(), self.fleet] if p is not None]
         for process in running:
             if process.poll() is None:
+                process.send_signal(signal.SIGCONT)  # one that stands still would not hear the next
                 process.terminate()
             try:
                 process.wait(8)
--- a/curlewhall/drills/play.py
+++ b/curlewhall/drills/play.py
@@ -96,6 +96,10 @@
         processes.kill_front(*facts)
     elif what == "front":
         processes.start_front(*facts)
+    elif what == "pause":
+        processes.pause_front(*facts)
+    elif what == "wake":
+        processes.wake_front(*facts)
     elif what == "inventory":
         processes.swap_inventory(*facts)
     elif what == "disk":
--- a/curlewhall/standins/crowd.py
+++ b/curlewhall/standins/crowd.py
@@ -174,7 +174,9 @@
 
     def pool(self, base: str) -> Pool:
         address, _, port = base.split("/")[2].rpartition(":")
-        key = address.strip("[]"), int(port)
+        # a viewer's way to a node is its own, not its front's link
+        own = next(iter(self.plan["nodes"]))["port"] if self.plan.get("links") else int(port)
+        key = address.strip("[]"), own
         if key not in self.nodes:
             self.nodes[key] = Pool(self.loop, self.timers, *key)
         return self.nodes[key]
--- a/curlewhall/standins/node.py
+++ b/curlewhall/standins/node.py
@@ -48,6 +48,7 @@
         self.machine = self.make(warm=True)
         self.started_ms = 0
         self.fell = None  # called once when the node falls over
+        self.links = None  # the ways of fronts to here, where a plan has such
 
     def make(self, warm: bool) -> Machine:
         now = self.loop.time()
@@ -65,6 +66,8 @@
         self.started_ms = 0 if warm else int(time.time() * 1000)
         self.server = Server(self.loop, self.timers, listen(self.spec["address"], self.spec["port"]),
                              self.handle)
+        if self.links is not None:
+            self.links.up(self.name, True)
         self.records.write(self.at, "start", cold=not warm, streams=self.spec["streams"])
         life = self.life
         self.timers.after(unit(self.name, "tick"), self.tick, life)
@@ -78,6 +81,8 @@
         fronts = sorted(self.streams)
         self.records.write(self.at, what, plays=len(self.plays), fronts=fronts)
         server, self.server = self.server, None
+        if self.links is not None:
+            self.links.up(self.name, False)
         for play in list(self.plays.values()):
             self.close(play, "died")
         self.streams.clear()
@@ -113,6 +118,7 @@
                 self.close(play, query.get("why", "ended"))
             exchange.reply(204 if found else 404)
         elif url.path == "/v1/load":
+            self.records.write(self.at, "probe")
             exchange.reply(200, {}, forms.encode(forms.Load(self.shown(), self.report())))
         elif url.path == "/v1/events":
             self.stream(exchange, query.get("front", ""))
@@ -307,6 +313,7 @@
     # ---- what fronts are told
 
     def stream(self, exchange: Exchange, front: str) -> None:
+        self.records.write(self.at, "stream", front=front)
         old = self.streams.pop(front, None)
         if old is not None:
             old.finish()
--- a/tests/rules/test_judge.py
+++ b/tests/rules/test_judge.py
@@ -35,6 +35,10 @@
     return {"t": t, "at": f"node:{node}", "what": "end", "play": play, "number": number, "why": why}
 
 
+def let_go(t, node="n", play="p", number=0, front="a"):
+    return {"t": t, "at": f"node:{node}", "what": "let_go", "play": play, "number": number, "front": front}
+
+
 def told(t, state, node="n", front="a", how="changes", started=0):
     return {"t": t, "at": "list", "what": "told", "front": front, "how": how,
             "rows": [[node, state, started]]}
@@ -68,6 +72,24 @@
     "no end on record, its front killed": ("1", [ask(0), drill(S, "killed")]),
     "the viewer was told to end": ("", [ask(0), none(S, "over", "hung_up")]),
     "told to end past its limit": ("1", [ask(0), none(4 * S, "over")]),
+    "its front stood still": ("", [ask(0), drill(S, "paused"), none(4 * S), drill(9 * S, "woken")]),
+    "its front never woke": ("", [ask(0), drill(S, "paused"), none(4 * S)]),
+    "its front stood still before": ("1", [drill(0, "paused"), drill(S, "woken"), ask(2 * S), none(6 * S)]),
+    "late by a pause": ("", [ask(0), drill(S, "paused"), drill(5 * S, "woken"), answer(5 * S)]),
+    "twice after a pause": ("1", [ask(0), drill(S, "paused"), drill(2 * S, "woken"), answer(3 * S),
+                                  answer(4 * S)]),
+    "let go, its node not told": ("", [setup(0), let_go(S), setup(S + 1, "m", number=1), end(9 * S)]),
+    "let go after the next": ("2", [setup(0), setup(S, "m", number=1), let_go(3 * S), end(9 * S)]),
+    "let go elsewhere": ("2", [setup(0), let_go(S, "o"), setup(S + 1, "m", number=1), end(9 * S)]),
+    "let go before it came": ("", [let_go(S), setup(S + 1, "m", number=1), setup(2 * S), end(2 * S + 1)]),
+    "paid, let go, sent again": ("2", [setup(0, product="paid"), let_go(S), setup(S + 1, "m", number=1,
+                                                                                product="paid")]),
+    "paid, let go before it came": ("2", [let_go(S), setup(S + 1, "m", number=1, product="paid"),
+                                          setup(2 * S, product="paid"), end(2 * S + 1)]),
+    "told while it stood still": ("", [drill(0, "paused"), told(S, "draining"), drill(9 * S, "woken"),
+                                       setup(9 * S + 9)]),
+    "told long before it stood still": ("3", [told(0, "draining"), drill(S, "paused"), drill(9 * S, "woken"),
+                                              setup(9 * S + 9)]),
     "one after the other": ("", [setup(0), end(S), setup(S + 1, "m", number=1)]),
     "written the wrong way round": ("", [setup(0), setup(S, "m", number=1), end(S + 900)]),
     "two out": ("2", [setup(0), setup(S, "m", number=1), end(2 * S)]),
