Fronts meet nodes in turns, believe a kept list by its age, and take no older list

start/decide.py: Turns (each node has an order of its own in which the fleet's fronts open their streams, one every 20 ms; was: all at once, and back after fixed pauses), Churn and age (trust in a kept list from the changes seen in the node-seconds watched, kept with it, by the machine's own count within one boot and never from a clock that was set back), Belief (under 0.8 a node of the kept list gets plays once it has answered under its own name; one at whose address another answers gets none until the service speaks). In one life of the service an older whole list is not taken, nor what builds on it. A hand-over passes the list's life on, so that successors have theirs confirmed.

--- a/curlewhall/daemon/handover.py
+++ b/curlewhall/daemon/handover.py
@@ -46,6 +46,7 @@
     titles: list[forms.Title]
     version: int
     drained: list[str]
+    life: str = ""  # of the list service, in which the version counts
 
 
 _pack = msgspec.msgpack.Encoder().encode
@@ -120,9 +121,9 @@
         follower = front.follower
         rows, titles = list(follower.rows.values()), list(follower.titles.values())
         for few in pieces(rows):
-            say("list", _pack(Lists(few, [], follower.version, sorted(follower.drained))))
+            say("list", _pack(Lists(few, [], follower.version, sorted(follower.drained), follower.asks.life)))
         for few in pieces(titles):
-            say("list", _pack(Lists([], few, follower.version, [])))
+            say("list", _pack(Lists([], few, follower.version, [], follower.asks.life)))
         for few in pieces((name, node.since) for name, node in front.nodes.nodes.items()):
             say("known", _pack(few))
         for few in pieces(self.reports()):
@@ -241,7 +242,7 @@
         self.loop, self.ready, self.failed, self.front = loop, ready, failed, None
         self.rows: list[forms.Row] = []
         self.titles: list[forms.Title] = []
-        self.version, self.drained, self.counts = 0, set(), {}
+        self.version, self.life, self.drained, self.counts = 0, "", set(), {}
         self.since: dict[str, int] = {}
         self.reports: list[tuple[int, str, str, float]] = []
         self.plays: list[Carried] = []
@@ -259,7 +260,7 @@
             lists = unpack(Lists, facts[0])
             self.rows += lists.rows
             self.titles += lists.titles
-            self.version = lists.version
+            self.version, self.life = lists.version, lists.life
             self.drained |= set(lists.drained)
         elif kind == "known":
             self.since |= dict(unpack(list[tuple[str, int]], facts[0]))
@@ -304,6 +305,7 @@
         follower.rows = {row.node: row for row in self.rows}
         follower.titles = {title.title: title for title in self.titles}
         front.viewers.titles, follower.version = follower.titles, self.version
+        follower.asks.life = self.life
         shown = [follower.shown(row) for row in self.rows]
         front.nodes.listed([row for row in shown if row.state != "gone"], whole=True)
         for name, node in front.nodes.nodes.items():
--- a/curlewhall/drills/__init__.py
+++ b/curlewhall/drills/__init__.py
@@ -13,10 +13,11 @@
 from .links import links
 from .play import Day, run
 from .restart import leave, restart, steady
+from .start import STARTS
 
 DRILLS = {"badday": badday, "drain": drain, "drain-frozen-target": drain_frozen_target,
           "drain-cold": drain_cold, "drain-rack": drain_rack, "drain-crowd": drain_crowd,
           "kill": kill, "disk": disk, "inventory": inventory, "restart": restart, "steady": steady,
-          "leave": leave, "links": links}
+          "leave": leave, "links": links, **STARTS}
 
 __all__ = ["DRILLS", "Day", "run"]
--- a/curlewhall/drills/fleet.py
+++ b/curlewhall/drills/fleet.py
@@ -83,7 +83,8 @@
         "rules": {"start_capacity": 0.4, "warm_within": 5.0, "overload_factor": 4.0, "fall": 1.0},
         "grace": 1.0, "budget": [10.0, 3, 0.2],
         "list_service": {"address": f"{net}.1", "port": PORT, "lag": [0.2, 1.0]},
-        "control": {"address": f"{net}.1", "port": PORT + 1}, "key_file": str(folder / "key"),
+        "control": {"address": f"{net}.1", "port": PORT + 1},
+        "stranger": {"address": f"{net}.2", "port": PORT}, "key_file": str(folder / "key"),
         "fronts": [{"name": f"front-{i}", "address": f"{net}.{200 + i}", "port": PORT}
                    for i in range(fronts)],
         "relay": {"late": [0.002, 0.02],
@@ -186,6 +187,7 @@
         self.telling: list[threading.Thread] = []
         self.states: dict[str, str] = {}  # of nodes in the inventory, where there is one
         self.digest = ""
+        self.since: dict[str, int] = {}  # of each front's log, where its latest process begins
 
     def __enter__(self) -> "Processes":
         # Danger: a drill that is told to end would leave its processes behind.
@@ -233,7 +235,7 @@
 
     def start_front(self, name: str) -> None:
         path = self.folder / f"{name}.log"
-        self.since = path.stat().st_size if path.exists() else 0
+        self.since[name] = path.stat().st_size if path.exists() else 0
         self.records.write("drill", "started", front=name)
         file = str(self.folder / f"{name}.textproto")
         how = "start" if self.plan.get("daemon") else "serve"
@@ -243,7 +245,8 @@
         self.fronts[name] = self.spawn(name, [*program, how, file, *self.named])
 
     def await_front(self, name: str) -> None:
-        self.await_line(self.fronts[name], '"ready"', name)
+        """Wait until the latest process of that front says that it is ready."""
+        self.await_line(self.fronts[name], '"ready"', name, since=self.since[name])
 
     def kill_front(self, name: str) -> None:
         """kill -9."""
@@ -274,6 +277,27 @@
             time.sleep(0.01)
         return time.monotonic() - began
 
+    def edit_list(self, name: str, days: float, wrong: float) -> None:
+        """Make a front's kept list look `days` old; a part `wrong` of its nodes lie where a stranger answers.
+
+        The same nodes at every front. `days` below 0 takes the file away.
+        """
+        path = self.folder / f"{name}.list"
+        if days < 0:
+            path.unlink(missing_ok=True)
+            return
+        if not path.exists():
+            return
+        kept = json.loads(path.read_bytes())
+        rows = sorted(kept["rows"], key=lambda row: hashlib.sha256(row["node"].encode()).digest())
+        for row in rows[:round(wrong * len(rows))]:
+            row["address"], row["port"] = self.plan["stranger"]["address"], self.plan["stranger"]["port"]
+        if wrong:
+            kept["life"] = "former"  # what is wrong can't be confirmed by a version that stands
+        if days:
+            kept["kept"] |= {"unix_ms": int(time.time() * 1000 - 86_400_000 * days), "boot": ""}
+        path.write_text(json.dumps(kept))
+
     def set_disk(self, name: str, fault: str) -> None:
         """What the disk of a front's state does from now on, see `faulty`."""
         path = self.folder / f"{name}.disk"
--- a/curlewhall/drills/play.py
+++ b/curlewhall/drills/play.py
@@ -96,6 +96,8 @@
         processes.kill_front(*facts)
     elif what == "front":
         processes.start_front(*facts)
+    elif what == "kept":
+        processes.edit_list(*facts)
     elif what == "pause":
         processes.pause_front(*facts)
     elif what == "wake":
--- a/curlewhall/front/listing.py
+++ b/curlewhall/front/listing.py
@@ -8,7 +8,7 @@
 from urllib.parse import quote
 
 from curlewhall.inventory.form import Inventory
-from curlewhall.start.decide import Asks
+from curlewhall.start import Asks, Belief, Churn, Stamp, age
 from curlewhall.wire import forms
 from curlewhall.wire.client import Pool, Reply
 from curlewhall.wire.http import request_bytes
@@ -18,6 +18,22 @@
 
 SILENT = 5.0  # seconds without a line, ticks included, after which a stream is taken for dead
 STATES = ("serving", "draining", "gone")
+KEEP_EVERY = 60.0  # seconds after which a list that is confirmed again and again is written again
+BOOT = Path("/proc/sys/kernel/random/boot_id")
+
+
+def stamp() -> Stamp:
+    """Now, for a list on disk. Without a boot's name (other systems) only the wall clock counts."""
+    boot = BOOT.read_text().strip() if BOOT.exists() else ""
+    return Stamp(int(time.time() * 1000), boot, time.clock_gettime(time.CLOCK_BOOTTIME) if boot else 0.0)
+
+
+def changed(old: dict[str, forms.Row], rows: list[forms.Row], whole: bool) -> int:
+    """How many lines of what was had stopped being true: gone, started anew, or at another address."""
+    now = {row.node: row for row in rows}
+    return sum(new.state == "gone" or (new.started_ms, new.address, new.port) != (
+        row.started_ms, row.address, row.port) if (new := now.get(name)) else whole
+        for name, row in old.items())
 
 
 def put(path: str, data: bytes) -> None:
@@ -41,7 +57,10 @@
         self.spread: Callable | None = None  # tells the other workers what an operator told this one
         self.turn = None  # when it is asked next
         self.keeping, self.unkept = None, False  # a write under way; whether more is known than it holds
+        self.written_at = 0.0
         self.drained: set[str] = set()  # by this front's operator, whatever the list says
+        self.belief, self.churn = Belief(), Churn()
+        self.stamp, self.stamped = Stamp(0, "", 0.0), 0.0  # when the list was last confirmed; steady seconds
 
     @property
     def version(self) -> int:
@@ -54,21 +73,54 @@
 
     def start(self) -> None:
         """Believe the kept list, if there is one, until the service says more; then subscribe."""
-        life = ""
         if self.kept and os.path.exists(self.kept) and not self.rows:
             try:
-                old = forms.decode(forms.Listing, Path(self.kept).read_bytes())
-                self.take(old, "old_copy")
-                life = old.life
-                self.driver.log.info("kept list read", nodes=len(old.rows), version=old.version)
+                self.read(Path(self.kept))
             except (OSError, forms.Malformed) as err:
                 self.driver.log.warning("the kept list can't be read", why=str(err))
-        wait = self.asks.begin(life, self.version)
+        wait = self.asks.begin(self.asks.life, self.version)
         if self.watcher is not None:
             self.watcher.start()
         if self.pool is not None:
             self.turn = self.driver.timers.after(wait, self.subscribe)
 
+    def read(self, path: Path) -> None:
+        """Go by the kept list, as far as its age lets it be believed. `OSError`, `Malformed`."""
+        old = forms.decode(forms.Listing, path.read_bytes())
+        kept = old.kept or forms.Kept(unix_ms=int(path.stat().st_mtime * 1000))  # an earlier program's
+        self.stamp = Stamp(kept.unix_ms, kept.boot, kept.steady_s)
+        self.churn = Churn(kept.changes, kept.watched_s)
+        seconds = age(self.stamp, stamp())
+        trust = self.churn.trust(seconds)
+        self.belief.kept({row.node for row in old.rows}, trust)
+        self.take(old, "old_copy")
+        self.asks.life = old.life
+        facts = {"nodes": len(old.rows), "version": old.version, "trust": round(trust, 3),
+                 "age_s": None if seconds is None else round(seconds)}
+        if not self.belief.unsure:
+            self.driver.log.info("kept list read", **facts)
+        else:
+            how = "too old to be believed" if self.belief.forgotten else "old"
+            self.driver.log.warning(f"the kept list is {how}: nodes get plays once they have answered",
+                                    **facts)
+
+    def answered(self, name: str, named: str) -> None:
+        """A node's stream began; whoever answers at its address calls itself `named`."""
+        sure = self.belief.answered(name, named)
+        if sure is not None and name in self.rows:
+            self.tell_module([self.rows[name] if sure else forms.msgspec.structs.replace(
+                self.rows[name], state="gone")])
+
+    def tell_module(self, rows: list[forms.Row]) -> None:
+        """Tell module and mover of nodes that may get plays now, or not any more; the list is as it was."""
+        now, unix = self.driver.clock.now(), int(time.time() * 1000)
+        self.driver.listed("changes", [module_row(self.shown(row), now, unix) for row in rows])
+        self.driver.moves.listed(self.sure(self.rows.values()), now, unix)
+
+    def sure(self, rows) -> list[forms.Row]:
+        """Those that may get plays, as they are shown."""
+        return [self.shown(row) for row in rows if row.state != "gone" and row.node not in self.belief.unsure]
+
     def as_inventory(self) -> Inventory | None:
         """What this front goes by now; None where it knows nothing yet."""
         rows = {row.node: row for row in self.rows.values() if row.state != "gone"}
@@ -113,20 +165,40 @@
             self.driver.timers.after(0, self.stream.withdraw)
 
     def line(self, listing: forms.Listing) -> None:
-        self.failing, self.spoken = False, True
+        self.failing = False
         if listing.how == "whole":
-            self.asks.whole(listing.life, listing.version)
-            self.take(listing, "whole")
+            if self.asks.whole(listing.life, listing.version):
+                self.heard(changed(self.rows, listing.rows, whole=True))
+                self.take(listing, "whole")
+            else:
+                self.driver.log.warning("the list service is behind what this front knows",
+                                        have=self.asks.latest, told=listing.version)
         elif listing.how != "changes":
             self.asks.tick()
+            if self.version and not self.asks.behind:
+                self.heard(0)
+                if time.monotonic() - self.written_at > KEEP_EVERY:
+                    self.keep()  # only its stamp is new
         elif self.asks.follows(listing.life, listing.since, listing.version):
+            freed = self.heard(changed(self.rows, listing.rows, whole=False))
             self.take(listing, "changes")
-        elif listing.version > self.version or listing.life not in ("", self.asks.life):
+            if freed:
+                self.tell_module([self.rows[name] for name in sorted(freed) if name in self.rows])
+        elif self.asks.missed(listing.life, listing.version):
             # Danger: a change built on one never seen. A gap is closed by the whole list.
             self.driver.log.warning("a gap in the list", have=self.version, since=listing.since)
             self.asks.gap()
             self.driver.timers.after(0, self.stream.withdraw)
 
+    def heard(self, changes: int) -> set[str]:
+        """The service has confirmed what this front goes by, but for what it tells next; the nodes that may
+        get plays by that.
+        """
+        now, spoken, self.spoken = time.monotonic(), self.spoken, True
+        self.churn.saw(changes, len(self.rows) * (now - self.stamped) if spoken else 0.0)
+        self.stamped, self.stamp = now, stamp()
+        return self.belief.spoken()
+
     def take(self, listing: forms.Listing, how: str) -> None:
         rows = self.sound(listing.rows)
         if how != "changes":
@@ -137,12 +209,11 @@
                         if not self.refused(title.title, title)}
         self.version = listing.version
         self.driver.viewers.titles = self.titles
-        rows = [self.shown(row) for row in rows]
+        rows, unsure = [self.shown(row) for row in rows], self.belief.unsure
         now, unix = self.driver.clock.now(), int(time.time() * 1000)
         self.driver.nodes.listed(rows, whole=how != "changes")  # first: the module may allocate at once
-        self.driver.listed(how, [module_row(row, now, unix) for row in rows])
-        self.driver.moves.listed([self.shown(row) for row in self.rows.values() if row.state != "gone"], now,
-                                 unix)
+        self.driver.listed(how, [module_row(row, now, unix) for row in rows if row.node not in unsure])
+        self.driver.moves.listed(self.sure(self.rows.values()), now, unix)
         if self.tell is not None:
             self.tell(listing)
         self.driver.log.info("list", how=how, version=listing.version, rows=len(rows))
@@ -218,7 +289,11 @@
     def write(self) -> None:
         self.unkept = False
         rows = [row for row in self.rows.values() if row.state != "gone"]
-        whole = forms.Listing("whole", self.version, 0, rows, list(self.titles.values()), self.asks.life)
+        kept = forms.Kept(self.stamp.unix_ms, self.stamp.boot, self.stamp.steady, self.churn.changes,
+                          self.churn.watched)
+        self.written_at = time.monotonic()
+        whole = forms.Listing("whole", self.version, 0, rows, list(self.titles.values()), self.asks.life,
+                              kept)
         self.keeping = asyncio.get_running_loop().run_in_executor(None, put, self.kept, forms.encode(whole))
         self.keeping.add_done_callback(self.written)
 
@@ -247,7 +322,8 @@
     def state(self) -> dict:
         """For `/v1/state`: what the front goes by, and whether the service has said so in this process."""
         return {"version": self.version, "life": self.asks.life, "confirmed": self.spoken,
-                "reached": self.spoken and not self.failing}
+                "reached": self.spoken and not self.failing, "behind": self.asks.behind,
+                "trust": round(self.belief.trust, 3), "unsure": len(self.belief.unsure)}
 
     def close(self) -> None:
         if self.turn is not None:
--- a/curlewhall/front/nodes.py
+++ b/curlewhall/front/nodes.py
@@ -6,8 +6,10 @@
 """
 
 import time
+from collections.abc import Callable
 
 from curlewhall.interface import NodeRow
+from curlewhall.start import Turns
 from curlewhall.wire import forms
 from curlewhall.wire.client import Ask, Pool, Reply
 from curlewhall.wire.http import request_bytes
@@ -16,7 +18,6 @@
 
 FOREVER = 86_400.0
 END_LIMIT = 1.0  # for what is said to a node without waiting for it
-PAUSES = (0.1, 0.3, 1.0, 2.0)  # before a broken stream is asked for again
 FORGOTTEN = 600 * 10_000  # after so long out of sight a gone node is let go, as the module does
 NOTES = ("delivered", "link_asked", "uplink_asked")
 
@@ -28,7 +29,7 @@
         self.row, self.pool = row, pool
         self.stream: Ask | None = None
         self.lines = forms.Lines()
-        self.tries, self.greeted, self.pause = 0, False, None
+        self.greeted, self.pause, self.waits = False, None, None  # pause: when its stream is asked for next
         self.asked = 0  # when its stream was asked for
         self.since = 0  # when it was first known, or last lost from sight: the module's time
         self.handed = False  # known from the predecessor, and not heard of by this process yet
@@ -37,8 +38,10 @@
 class Nodes:
     """All listed nodes, by name."""
 
-    def __init__(self, driver: Driver, loop, timers, front: str, connect: float, probe_limit: float) -> None:
-        self.driver, self.loop, self.timers, self.front = driver, loop, timers, front
+    def __init__(self, driver: Driver, loop, timers, front: str, connect: float, probe_limit: float,
+                 turns: Turns) -> None:
+        self.driver, self.loop, self.timers, self.front, self.turns = driver, loop, timers, front, turns
+        self.answered: Callable[[str, str], None] = lambda node, named: None  # who answers at its address
         self.connect, self.probe_limit = connect, probe_limit
         self.nodes: dict[str, Node] = {}
         self.started = time.monotonic()
@@ -63,12 +66,16 @@
                     continue
                 node = Node(row, Pool(self.loop, self.timers, row.address, row.port, connect=self.connect))
                 self.nodes[row.node] = node
-                node.since = self.driver.clock.now()
-            elif row.started_ms > node.row.started_ms or row.state == "gone":
+                node.since, node.waits = self.driver.clock.now(), self.turns.back()
+            anew = row.started_ms > node.row.started_ms
+            if anew or row.state == "gone":
                 # Danger: a connection of the process before is dead, or leads to who knows whom.
                 node.pool.drop_idle()
             node.row = row
-            self.follow(node)
+            if row.state == "gone":
+                self.follow(node)
+            elif node.stream is None and (anew or node.pause is None):
+                self.follow_later(node, self.turns.wait(row.node))
         if whole:
             named = {row.node for row in rows}
             for node in [n for n in self.nodes.values() if n.row.node not in named]:
@@ -93,6 +100,8 @@
         if node is None or held.answered:
             return None
         facts = forms.msgspec.structs.replace(held.facts, number=number + held.offset, rung=held.rung)
+        if node.pause is not None:
+            self.follow(node)  # what it says of the play is wanted from now on
         body = forms.encode(forms.SetUp(self.front, facts, span * 1000))
         data = request_bytes("POST", "/v1/plays", node.pool.host, body, content_type="application/json")
         # Danger: a connection may take its time; a drain told meanwhile, or a viewer gone, stops the set-up.
@@ -162,9 +171,18 @@
 
     # ---- what a node tells
 
+    def follow_later(self, node: Node, span: float) -> None:
+        """At once where a paid play's fate hangs on what the node says."""
+        if node.pause is not None:
+            node.pause.cancel()
+        span = 0.0 if self.driver.keeper.waits_for(node.row.node) else span
+        node.pause = self.timers.after(span, self.follow, node)
+
     def follow(self, node: Node) -> None:
         """Ask for the node's stream unless it is open or about to be."""
-        node.pause = None
+        if node.pause is not None:
+            node.pause.cancel()
+            node.pause = None
         if self.leaving or node.stream is not None or self.nodes.get(node.row.node) is not node:
             return
         if node.row.state == "gone":
@@ -193,11 +211,7 @@
         if reply.ending == "unreached":
             # Refused: the process is gone and its plays with it.
             self.lost(node.row.node)
-        pause = PAUSES[min(node.tries, len(PAUSES) - 1)]
-        node.tries += 1
-        if node.pause is not None:
-            node.pause.cancel()
-        node.pause = self.timers.after(pause, self.follow, node)
+        self.follow_later(node, node.waits.next())
 
     def lost(self, name: str) -> None:
         self.driver.keeper.spoke(name, ())
@@ -226,7 +240,10 @@
 
     def hello(self, name: str, event: forms.Event) -> None:
         node = self.nodes.get(name)
-        if node is None or event.node != name:
+        if node is None:
+            return
+        self.answered(name, event.node)  # before its plays are resumed: the module has to know it
+        if event.node != name:
             self.driver.log.warning("a stranger answers at a node's address", node=name, found=event.node)
             return
         there = {facts.play: facts for facts in event.plays}
@@ -240,7 +257,7 @@
         self.driver.keeper.spoke(name, there.keys() | elsewhere.keys() | out | later)
         if later:
             self.loop.call_soon(node.stream.withdraw)
-        node.tries = 0
+        node.waits.anew()
         # what ended between the predecessor's word and this one did not break off
         how, node.handed = "ok" if node.handed else "broken", False
         for play, _ in gone:
--- a/curlewhall/front/serve.py
+++ b/curlewhall/front/serve.py
@@ -22,6 +22,7 @@
 from curlewhall.settings import rate_card
 from curlewhall.settings.front_pb2 import STRICT, FrontFile
 from curlewhall.settings.keys import read_keys
+from curlewhall.start import Turns
 from curlewhall.wire.client import Pool
 from curlewhall.wire.http import Limits
 from curlewhall.wire.server import Server, listen
@@ -86,7 +87,8 @@
         may = file.permissions
         connect = (may.connect_time_limit_ms or 250) / 1000
         self.nodes = Nodes(self.driver, self.loop, self.timers, name, connect,
-                           (may.probe_time_limit_ms or 250) / 1000)
+                           (may.probe_time_limit_ms or 250) / 1000,
+                           Turns(seed, file.identity.index, file.identity.fronts))
         self.peers = Peers(self.driver, {p.index: (p.address, p.port) for p in file.peer})
         self.driver.viewers, self.driver.nodes, self.driver.peers = self.viewers, self.nodes, self.peers
         if file.members.key_file:
@@ -97,7 +99,7 @@
         service = None if not file.HasField("list_service") else Pool(
             self.loop, self.timers, file.list_service.address, file.list_service.port)
         self.follower = Follower(self.driver, service, name, file.list_service.kept_file, seed)
-        self.viewers.follower = self.follower
+        self.viewers.follower, self.nodes.answered = self.follower, self.follower.answered
         self.open_store()
         drain_within = 10 * (file.moves.drain_within_ms or 30_000)
         if file.inventory.file:
--- a/curlewhall/recovery/absent.py
+++ b/curlewhall/recovery/absent.py
@@ -23,6 +23,9 @@
     def doubtful(self, viewer: str, title: str, product: str) -> bool:
         return False
 
+    def waits_for(self, node: str) -> bool:
+        return False
+
     def ran_for(self, play: str, number: int) -> int:
         return 0
 
--- a/curlewhall/recovery/run.py
+++ b/curlewhall/recovery/run.py
@@ -83,5 +83,9 @@
     def doubtful(self, viewer: str, title: str, product: str) -> bool:
         return self.doubts.doubtful(self.now(), viewer, title, product)
 
+    def waits_for(self, node: str) -> bool:
+        """Whether a paid play's fate hangs on what this node says."""
+        return node in self.doubts.by_node
+
     def close(self) -> None:
         self.store.close()
--- a/curlewhall/standins/fleet.py
+++ b/curlewhall/standins/fleet.py
@@ -60,6 +60,8 @@
             node.fell = self.fell
             node.start(warm=True)
         self.list.start()
+        where = self.plan["stranger"]
+        Server(self.loop, self.timers, listen(where["address"], where["port"]), self.stray)
         Pulse(self.timers, self.records, "fleet")
         where = self.plan["control"]
         Server(self.loop, self.timers, listen(where["address"], where["port"]), self.control)
@@ -67,6 +69,18 @@
     def fell(self, node: Node) -> None:
         self.list.change(self.row(node, "gone"))
 
+    def stray(self, exchange: Exchange) -> None:
+        """Another machine, at an address that old lists name: it answers in the nodes' words, as itself."""
+        path = exchange.request.target.partition("?")[0]
+        self.records.write("stranger", "stray", path=path, method=exchange.request.method)
+        if path == "/v1/events":
+            exchange.start(200, {"content-type": "application/jsonl"})
+            exchange.write(forms.encode(forms.Event("hello", node="stranger")) + b"\n")
+        elif path == "/v1/load":
+            exchange.reply(200, {}, forms.encode(forms.Load("stranger")))
+        else:
+            exchange.reply(201 if path == "/v1/plays" else 404, {}, forms.encode(forms.SetUpDone("stranger")))
+
     def control(self, exchange: Exchange) -> None:
         try:
             asked = msgspec.json.decode(exchange.request.body)
--- a/curlewhall/start/decide.py
+++ b/curlewhall/start/decide.py
@@ -1,16 +1,26 @@
-"""When a front asks the list service, and for what. No I/O and no clock: calls in, seconds and words out.
+"""When a front asks the list service and its nodes, and what it believes until they have answered. No I/O and
+no clock: calls in, seconds and words out.
 
 Each front is harmless; hundreds that ask in one moment, fail, and come back in step are the worst client
 that a service has. So every wait is drawn from the front's own seed, over spans that grow with the number of
 fronts.
 """
 
+from math import exp
 from random import Random
+from typing import NamedTuple
+from zlib import crc32
 
 BARE, BARE_IN_ALL = 0.005, 1.0  # a front's part of the span in which a fleet without lists asks; at most
 KEPT, KEPT_IN_ALL = 0.02, 4.0  # the same with kept lists: they go by those, and only have them confirmed
 LEAST, FIRST = 0.1, 0.5  # the first wait after a stream that ended
 PART, MOST, LONGEST = 0.02, 2.0, 10.0  # the longest wait: a front's part; at least; at most
+NODE_RATE = 50.0  # streams a second that a whole fleet asks of a node, see `Turns`
+STREAMS_IN_ALL = 8.0  # beyond 400 fronts the rate grows instead: nodes drop plays of a front away for 12 s
+DAY = 86_400.0
+WATCHED = 90 * DAY  # node-seconds after which what was seen counts half: fleets change their ways
+BELIEVED = 0.8  # the trust from which on a kept list's nodes get plays before they have answered
+FORGOTTEN = 0.05  # below, a kept list names hardly a node that is still there
 ASKED = 30.0  # a Retry-After beyond it is taken for this: the front would be blind for longer than lists hold
 
 
@@ -67,6 +77,7 @@
         self.bare, self.kept = span(BARE, fronts, BARE_IN_ALL), span(KEPT, fronts, KEPT_IN_ALL)
         self.waits = Waits(self.draw, LEAST, FIRST, max(MOST, span(PART, fronts, LONGEST)))
         self.life, self.version = "", 0
+        self.latest, self.behind = 0, False  # latest of this life; whether the service is before it
 
     def begin(self, life: str, version: int) -> float:
         """The wait before the first ask, with what a kept list says of itself ("" and 0: there is none).
@@ -75,21 +86,33 @@
         fleet, and a front without any list, which can place nothing, waits far less.
         """
         self.life, self.version = (life, version) if life else ("", 0)
+        self.latest = self.version
         return self.draw.between(0.0, self.kept if self.version else self.bare)
 
-    def whole(self, life: str, version: int) -> None:
-        """A whole list came, of this life of the service."""
+    def whole(self, life: str, version: int) -> bool:
+        """A whole list came, of this life of the service; whether it is to be taken.
+
+        Danger: a service that comes back from an older copy would call drained nodes back. In one life
+        versions only grow, so an older one is not taken, nor what builds on it, until it has caught up.
+        """
         self.waits.anew()
-        self.life, self.version = life, version
+        self.behind = bool(life) and life == self.life and version < self.latest
+        if not self.behind:
+            self.life, self.version, self.latest = life, version, version
+        return not self.behind
 
     def follows(self, life: str, since: int, version: int) -> bool:
         """Whether a change follows on what is had; if so, it is had from now on. `gap` is yours to say."""
         self.waits.anew()
-        if life not in ("", self.life) or not 0 < since == self.version:
+        if self.behind or life not in ("", self.life) or not 0 < since == self.version:
             return False
-        self.version = version
+        self.version = self.latest = version
         return True
 
+    def missed(self, life: str, version: int) -> bool:
+        """Whether a change that does not follow tells of something that is not had."""
+        return life not in ("", self.life) or version > self.latest
+
     def tick(self) -> None:
         """The service lives, and has nothing new."""
         self.waits.anew()
@@ -108,3 +131,106 @@
             return self.waits.next()
         asked = min(ASKED, retry_after)
         return asked + self.draw.between(0.0, max(FIRST, asked))
+
+
+class Turns:
+    """When one front opens its streams to nodes, each of which meets all fronts that start at one moment.
+
+    Not drawn: each node has an order of its own in which the fleet's fronts have their turns, one every
+    1 / `NODE_RATE` s, so that no second of any node sees more, and a front's own turns lie all over its span.
+    """
+
+    def __init__(self, seed: int, index: int, fronts: int) -> None:
+        self.place = index % max(1, fronts) / max(1, fronts)
+        self.span, self.draw = span(1 / NODE_RATE, fronts, STREAMS_IN_ALL), Draw(seed, "streams")
+
+    def wait(self, node: str) -> float:
+        """The wait after a moment that all fronts see alike: their own start, or a node's that is told."""
+        return self.span * ((self.place + crc32(node.encode()) / 2**32) % 1.0)
+
+    def back(self) -> Waits:
+        """The waits after a stream that ended: all fronts lose a node that dies in one moment."""
+        return Waits(self.draw, LEAST, max(FIRST, self.span), max(MOST, self.span))
+
+
+class Stamp(NamedTuple):
+    """When a list was last confirmed: milliseconds since 1970, the machine's boot, and seconds since that."""
+
+    unix_ms: int
+    boot: str
+    steady: float
+
+
+def age(then: Stamp, now: Stamp) -> float | None:
+    """Seconds between two stamps; None where it can't be told.
+
+    Danger: wall clocks are minutes apart, and are set back. Within one boot the machine's own count goes;
+    across boots a time that lies ahead tells nothing, and is not taken for "just now".
+    """
+    if then.boot and then.boot == now.boot:
+        span = now.steady - then.steady
+    else:
+        span = (now.unix_ms - then.unix_ms) / 1000 if then.unix_ms else -1.0
+    return span if span >= 0 else None
+
+
+class Churn:
+    """How often a line of the list stops being true: changes seen in the node-seconds that were watched.
+
+    Until more is known, one change a node and day: fleets replace machines daily, not hourly.
+    """
+
+    def __init__(self, changes: float = 0.0, watched: float = 0.0) -> None:
+        sound = 0 <= changes < 1e9 and 0 <= watched < 1e12
+        self.changes, self.watched = (changes, watched) if sound else (0.0, 0.0)
+
+    def saw(self, changes: int, node_seconds: float) -> None:
+        self.changes, self.watched = self.changes + changes, self.watched + max(0.0, node_seconds)
+        if self.watched > WATCHED:
+            self.changes, self.watched = self.changes / 2, self.watched / 2
+
+    def rate(self) -> float:
+        """Changes a node and second."""
+        return (self.changes + 1) / (self.watched + DAY)
+
+    def trust(self, seconds: float | None) -> float:
+        """The chance that a line confirmed so long ago is still true; 0 where nobody knows how long ago."""
+        return 0.0 if seconds is None else exp(-self.rate() * seconds)
+
+
+class Belief:
+    """Which nodes of a kept list may get plays before the list service has spoken.
+
+    All of them while the list is trusted, and each that has answered under its own name; never one at whose
+    address another answers. Danger: of a fleet that starts on an old list each front would find each dead
+    machine for itself, at the price of a failed allocation.
+    """
+
+    def __init__(self) -> None:
+        self.unsure: set[str] = set()
+        self.trust, self.blind = 1.0, False  # blind: the service has not spoken since this list was kept
+
+    @property
+    def forgotten(self) -> bool:
+        """Whether hardly a line of the kept list can still be true."""
+        return self.trust < FORGOTTEN
+
+    def kept(self, nodes: set[str], trust: float) -> None:
+        """A kept list is all there is."""
+        self.trust, self.blind = trust, True
+        self.unsure = set() if trust >= BELIEVED else set(nodes)
+
+    def answered(self, node: str, named: str) -> bool | None:
+        """A node's stream began, and whoever answers calls itself `named`. True: from now on it may get
+        plays; False: not any more; None: nothing changes.
+        """
+        if not self.blind or (node in self.unsure) == (node != named):
+            return None
+        (self.unsure.discard if node == named else self.unsure.add)(node)
+        return node == named
+
+    def spoken(self) -> set[str]:
+        """The service has confirmed what was kept: the nodes that may get plays now and could not before."""
+        freed, self.unsure = self.unsure, set()
+        self.trust, self.blind = 1.0, False
+        return freed
--- a/curlewhall/wire/forms.py
+++ b/curlewhall/wire/forms.py
@@ -113,6 +113,18 @@
     length_s: float
 
 
+class Kept(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Of a list on disk: when the service last confirmed it (since 1970; the machine's boot and seconds since
+    that), and how many changes were seen in how many node-seconds.
+    """
+
+    unix_ms: int = 0
+    boot: str = ""
+    steady_s: float = 0.0
+    changes: float = 0.0
+    watched_s: float = 0.0
+
+
 class Listing(msgspec.Struct, frozen=True, omit_defaults=True):
     """A line of GET /v1/list?front=NAME&have=VERSION&life=LIFE.
 
@@ -126,6 +138,7 @@
     rows: list[Row] = []
     titles: list[Title] = []
     life: str = ""
+    kept: Kept | None = None
 
 
 # What a list or an inventory may say; beyond it there is a slip, or nothing that can be reckoned with.
