Lists from front to front: one that the list service leaves without asks a drawn peer

start/decide.py: Borrows (when and whom), Lends (two whole lists a second, the next asked to come back), better (which of two lists is gone by: the later version of one life, else the later confirmation). Over the HTTP that there is, with the service's life and version, and Age for how long ago the service confirmed it; proved by a token of the fronts' key. Ages add up; what is not believed is not handed on.

--- a/curlewhall/drills/fleet.py
+++ b/curlewhall/drills/fleet.py
@@ -124,7 +124,8 @@
         if one == index:
             there = plan["fronts"][other]
             file.peer.add(index=other, address=address, port=port,
-                          url=f"http://{there['address']}:{there['port']}")
+                          url=f"http://{there['address']}:"
+                              f"{plan['links']['port'] + index if plan.get('links') else there['port']}")
     for product in plan["products"]:
         file.product.add(name=product["name"], importance=product["importance"], floor=product["floor"],
                          first_frame_target_ms=product["target_ms"], time_limit_ms=product["limit_ms"],
@@ -214,11 +215,11 @@
     def __exit__(self, *exc) -> None:
         self.end()
 
-    def spawn(self, name: str, args: list[str]) -> subprocess.Popen:
+    def spawn(self, name: str, args: list[str], cwd: str | None = None) -> subprocess.Popen:
         log = open(self.folder / f"{name}.log", "ab")  # noqa: SIM115 - closed in `end`
         self.logs.append(log)
         return subprocess.Popen([sys.executable, "-m", *args], stdout=log, stderr=log,
-                                stdin=subprocess.DEVNULL)
+                                stdin=subprocess.DEVNULL, cwd=cwd)
 
     def await_line(self, process: subprocess.Popen, word: str, name: str, span: float = 30.0,
                    since: int = 0) -> None:
@@ -242,7 +243,8 @@
         program = ["curlewhall"]
         if self.plan.get("faulty"):
             program = ["curlewhall.drills.faulty", str(self.folder / f"{name}.disk")]
-        self.fronts[name] = self.spawn(name, [*program, how, file, *self.named])
+        # another version of the program may be measured on the same rig: a checkout of it
+        self.fronts[name] = self.spawn(name, [*program, how, file, *self.named], self.plan.get("fronts_at"))
 
     def await_front(self, name: str) -> None:
         """Wait until the latest process of that front says that it is ready."""
--- a/curlewhall/front/listing.py
+++ b/curlewhall/front/listing.py
@@ -13,6 +13,7 @@
 from curlewhall.wire.client import Pool, Reply
 from curlewhall.wire.http import request_bytes
 
+from . import lists
 from .driver import Driver
 from .nodes import module_row
 
@@ -58,6 +59,7 @@
         self.turn = None  # when it is asked next
         self.keeping, self.unkept = None, False  # a write under way; whether more is known than it holds
         self.written_at = 0.0
+        self.borrower = lists.NoBorrower()
         self.drained: set[str] = set()  # by this front's operator, whatever the list says
         self.belief, self.churn = Belief(), Churn()
         self.stamp, self.stamped = Stamp(0, "", 0.0), 0.0  # when the list was last confirmed; steady seconds
@@ -83,6 +85,32 @@
             self.watcher.start()
         if self.pool is not None:
             self.turn = self.driver.timers.after(wait, self.subscribe)
+            self.borrower.start()
+
+    @property
+    def astray(self) -> bool:
+        """Whether the list service has left this front without its word."""
+        return self.pool is not None and (self.failing or not self.spoken or self.asks.behind)
+
+    def now(self) -> Stamp:
+        return stamp()
+
+    def lent(self, listing: forms.Listing, seconds: float) -> bool:
+        """Go by a peer's list, confirmed so long ago, if it is better than what is had."""
+        now = stamp()
+        if not lists.taken(self, listing, seconds, now):
+            return False
+        self.stamp = Stamp(now.unix_ms - int(1000 * seconds), now.boot, now.steady - seconds)
+        whole, before = listing.how == "whole", self.belief.unsure
+        rows = {row.node for row in (listing.rows if whole else self.rows.values())}
+        self.belief.kept(rows, self.churn.trust(seconds))
+        if whole:
+            self.asks.lent(listing.life, listing.version)
+            self.take(listing, "old_copy")
+        else:
+            self.tell_module([self.rows[name] for name in sorted(before - self.belief.unsure & rows)])
+        self.driver.log.info("list from a peer", version=listing.version, age_s=round(seconds), whole=whole)
+        return True
 
     def read(self, path: Path) -> None:
         """Go by the kept list, as far as its age lets it be believed. `OSError`, `Malformed`."""
@@ -318,14 +346,17 @@
         after = reply.message.headers.get("retry-after", "") if shed else ""
         seconds = float(after) if after.isascii() and after.isdigit() else None
         self.turn = self.driver.timers.after(self.asks.ended(seconds), self.subscribe)
+        self.borrower.wanted()
 
     def state(self) -> dict:
         """For `/v1/state`: what the front goes by, and whether the service has said so in this process."""
         return {"version": self.version, "life": self.asks.life, "confirmed": self.spoken,
                 "reached": self.spoken and not self.failing, "behind": self.asks.behind,
-                "trust": round(self.belief.trust, 3), "unsure": len(self.belief.unsure)}
+                "trust": round(self.belief.trust, 3), "unsure": len(self.belief.unsure),
+                "age_s": age(self.stamp, stamp())}
 
     def close(self) -> None:
+        self.borrower.close()
         if self.turn is not None:
             self.turn.cancel()
         if self.watcher is not None:
--- /dev/null
+++ b/curlewhall/front/lists.py
@@ -0,0 +1,141 @@
+"""Lists from front to front: one that has the list hands it to one that the list service leaves without.
+
+`GET /v1/list?have=VERSION&life=LIFE` at a front, in the words of the list service, answered with one line.
+`Age` (RFC 9111 section 5.1) tells how long ago the service confirmed it. The asker proves that it is a front
+of the fleet by a token of the key that fronts share. When and whom is decided in `curlewhall.start`.
+"""
+
+import time
+from math import ceil
+from urllib.parse import parse_qsl, quote
+
+from curlewhall.dash import tokens
+from curlewhall.start import Borrows, Had, Lends, Stamp, age, better
+from curlewhall.start.decide import LENT_LATER
+from curlewhall.wire import forms
+from curlewhall.wire.client import Pool, Reply
+from curlewhall.wire.http import request_bytes
+from curlewhall.wire.server import Exchange
+
+from . import problems
+
+AUDIENCE = "curlewhall:list"  # of an asker's token
+LIFE = 10.0  # seconds that it holds
+LIMIT = 1.0  # seconds for an answer: a list of 1,000 nodes takes some 10 ms
+
+
+def had(follower, now: Stamp) -> Had:
+    return Had(follower.asks.life, follower.asks.latest, age(follower.stamp, now))
+
+
+class NoBorrower:
+    """A front that has no peers to ask, or no list service that could leave it without."""
+
+    def start(self) -> None: ...
+
+    def wanted(self) -> None: ...
+
+    def close(self) -> None: ...
+
+
+class Borrower(NoBorrower):
+    """The side of the front that lacks a list that was confirmed lately."""
+
+    def __init__(self, follower, pools: dict[int, Pool], key: bytes, seed: int) -> None:
+        self.follower, self.pools, self.key = follower, pools, key
+        self.timers, self.turn, self.ask = follower.driver.timers, None, None
+        self.borrows = Borrows(seed, list(pools), follower.driver.card.get("fronts", 1))
+        self.closed, self.count = False, 0  # count: lists taken
+
+    def start(self) -> None:
+        wait = self.borrows.begin(bare=not self.follower.rows)
+        if wait is not None:
+            self.turn = self.timers.after(wait, self.next)
+
+    def wanted(self) -> None:
+        """The service has just failed this front."""
+        if self.turn is None and self.ask is None and not self.closed:
+            self.turn = self.timers.after(self.borrows.waits.next(), self.next)
+
+    def next(self) -> None:
+        self.turn = None
+        if self.closed or self.follower.leaving or not self.follower.astray:
+            return
+        peer = self.borrows.next(time.monotonic())
+        if peer is None:
+            self.again(None, took=False)
+            return
+        follower, pool = self.follower, self.pools[peer]
+        session = tokens.Session("list", 0, AUDIENCE, follower.front, "", "")
+        proof = tokens.sign(session, self.key, time.time(), LIFE)
+        have = follower.asks.latest if follower.rows else 0
+        target = f"/v1/list?have={have}&life={quote(follower.asks.life, safe='')}"
+        data = request_bytes("GET", target, pool.host, authorization=f"Bearer {proof}")
+        self.ask = pool.ask(data, LIMIT, lambda reply: self.answered(peer, reply))
+
+    def again(self, peer: int | None, took: bool, retry_after: float | None = None) -> None:
+        if not self.closed:
+            wait = self.borrows.ended(time.monotonic(), peer, took, retry_after)
+            self.turn = self.timers.after(wait, self.next)
+
+    def answered(self, peer: int, reply: Reply) -> None:
+        self.ask = None
+        status = reply.message.status if reply.ending == "ok" else 0
+        if status != 200:
+            after = reply.message.headers.get("retry-after", "") if status == 503 else ""
+            self.again(peer, False, float(after) if after.isascii() and after.isdigit() else None)
+            return
+        try:
+            listing = forms.decode(forms.Listing, reply.message.body)
+            seconds = float(reply.message.headers.get("age", ""))
+        except (forms.Malformed, ValueError) as err:
+            self.follower.driver.log.warning("a peer's list is malformed", peer=peer, why=str(err))
+            self.again(peer, False)
+            return
+        if self.follower.astray:
+            self.count += self.follower.lent(listing, seconds)
+        self.again(peer, True)
+
+    def close(self) -> None:
+        self.closed = True
+        if self.turn is not None:
+            self.turn.cancel()
+        for pool in self.pools.values():
+            pool.close()
+
+
+class Lender:
+    """The side of the front that has one."""
+
+    def __init__(self, follower, key: bytes) -> None:
+        self.follower, self.key, self.lends = follower, key, Lends()
+
+    def asked(self, exchange: Exchange, query: str) -> None:
+        bearer, follower = exchange.request.headers.get("authorization", ""), self.follower
+        try:
+            tokens.check(bearer.removeprefix("Bearer "), self.key, AUDIENCE)
+        except tokens.BadToken as err:
+            problems.answer(exchange, 403, f"lists are for fronts of this fleet: {err}")
+            return
+        mine, given = had(follower, follower.now()), dict(parse_qsl(query))
+        if not follower.rows or not self.lends.sound(mine, follower.churn.trust(mine.seconds)):
+            problems.answer(exchange, 404, "This front has no list that was confirmed lately")
+            return
+        same = (given.get("have"), given.get("life", "")) == (str(mine.version), mine.life)
+        if not same and not self.lends.may(time.monotonic()):
+            problems.answer(exchange, 503, "This front has handed out enough lists for now",
+                            away=int(LENT_LATER * 10_000))
+            return
+        rows = [] if same else [row for row in follower.rows.values() if row.state != "gone"]
+        titles = [] if same else list(follower.titles.values())
+        listing = forms.Listing("changes" if same else "whole", mine.version, mine.version if same else 0,
+                                rows, titles, mine.life)
+        exchange.reply(200, {"content-type": "application/jsonl", "age": str(ceil(mine.seconds))},
+                       forms.encode(listing) + b"\n")
+
+
+def taken(follower, listing: forms.Listing, seconds: float, now: Stamp) -> bool:
+    """Whether a peer's list, confirmed so long ago, is to be gone by."""
+    theirs = Had(listing.life, listing.version, seconds if seconds >= 0 else None)
+    return listing.how in ("whole", "changes") and better(had(follower, now), theirs) and Lends.sound(
+        theirs, follower.churn.trust(theirs.seconds))
--- a/curlewhall/front/serve.py
+++ b/curlewhall/front/serve.py
@@ -6,6 +6,7 @@
 import signal
 import socket
 from collections.abc import Callable
+from urllib.parse import urlsplit
 
 import uvloop
 
@@ -31,6 +32,7 @@
 from .collector import calm_collector
 from .driver import Driver
 from .listing import Follower
+from .lists import Borrower, Lender
 from .nodes import Nodes
 from .parting import Giving
 from .peers import Peers
@@ -100,6 +102,11 @@
             self.loop, self.timers, file.list_service.address, file.list_service.port)
         self.follower = Follower(self.driver, service, name, file.list_service.kept_file, seed)
         self.viewers.follower, self.nodes.answered = self.follower, self.follower.answered
+        self.viewers.lender = Lender(self.follower, key)
+        pools = {p.index: Pool(self.loop, self.timers, there.hostname, there.port)
+                 for p in file.peer if p.url and (there := urlsplit(p.url)).hostname and there.port}
+        if service is not None and pools:
+            self.follower.borrower = Borrower(self.follower, pools, key, seed)
         self.open_store()
         drain_within = 10 * (file.moves.drain_within_ms or 30_000)
         if file.inventory.file:
--- a/curlewhall/front/viewers.py
+++ b/curlewhall/front/viewers.py
@@ -35,7 +35,7 @@
         self.away: OrderedDict[str, str] = OrderedDict()  # play moved -> its viewer
         self.successors: OrderedDict[str, Held] = OrderedDict()  # play moved -> what goes on with it
         self.found: OrderedDict[tuple, list[Held]] = OrderedDict()  # (viewer, title, product) -> resumed
-        self.open, self.follower, self.taking = True, None, Taking(self)
+        self.open, self.follower, self.taking, self.lender = True, None, Taking(self), None
 
     def handle(self, exchange: Exchange) -> None:
         url = urlsplit(exchange.request.target)
@@ -52,6 +52,8 @@
                 self.take(exchange, unquote(url.path[6:]), url.query)
             except Wrong as err:
                 problems.answer(exchange, 400, str(err))
+        elif url.path == "/v1/list" and self.lender is not None:
+            self.lender.asked(exchange, url.query)
         elif url.path == "/v1/state":
             exchange.reply(200, {"content-type": "application/json"}, msgspec.json.encode(self.state()))
         elif url.path == "/v1/inventory" and self.follower.watcher is not None:
--- a/curlewhall/standins/fleet.py
+++ b/curlewhall/standins/fleet.py
@@ -60,6 +60,8 @@
             node.fell = self.fell
             node.start(warm=True)
         self.list.start()
+        if self.links is not None:
+            self.links.open_fronts()
         where = self.plan["stranger"]
         Server(self.loop, self.timers, listen(where["address"], where["port"]), self.stray)
         Pulse(self.timers, self.records, "fleet")
--- a/curlewhall/standins/links.py
+++ b/curlewhall/standins/links.py
@@ -1,7 +1,8 @@
 """Links between the processes of a plan, each told to fail alone and in one direction alone.
 
-A front reaches the list service and each node by a port of its own (`plan["links"]["port"]` plus its index,
-on the other side's address); what comes there is carried on as TCP, byte by byte. Datagrams between fronts
+A front reaches the list service, each node and each other front by a port of its own, on the other side's
+address (`plan["links"]["port"]` plus its index); what comes there is carried on as TCP, byte by byte. A list
+names these ports, so one that passes from front to front is put into the taker's. Datagrams between fronts
 pass `relay.Relay`, which keeps to the same names.
 
 Faults (`fault`) are told for a direction, "front-0>n003", "list>front-1", "front-2>front-0"; "*" stands for
@@ -20,6 +21,7 @@
 
 import asyncio
 import contextlib
+import re
 import socket
 import struct
 import time
@@ -66,10 +68,12 @@
         self.queue: deque[tuple[float, bytes | None]] = deque()  # when due; None: the end
         self.size, self.free_at, self.left, self.timer = 0, 0.0, None, None
         self.source = self.target = None  # transports
+        self.shape = lambda data: data  # what the link makes of what is said
         trouble.ways.add(self)
 
     def push(self, data: bytes | None) -> None:
         self.came(data)
+        data = data and self.shape(data)
         self.queue.append((time.monotonic() + self.trouble.values["delay"], data))
         self.size += len(data or b"")
         if self.size > ROOM and self.source is not None:
@@ -223,11 +227,19 @@
         self.doors: dict[str, list[Door]] = {}
         self.behind: dict[str, tuple[str, int]] = {}
         self.tasks: set[asyncio.Task] = set()
-        ends = {"list": plan["list_service"], **{spec["node"]: spec for spec in plan["nodes"]}}
+        others = b"|".join(b"%d" % (self.base + i) for i in self.index.values())
+        self.ports = re.compile(rb'"port":(?:%s)\b' % others)  # of one length, as four digits are
+        ends = {"list": plan["list_service"], **{spec["node"]: spec for spec in plan["nodes"]},
+                **{front["name"]: front for front in plan["fronts"]}}
         for there, where in ends.items():
             self.behind[there] = where["address"], where["port"]
             self.doors[there] = [Door(self, front, there, where["address"], self.base + i)
-                                 for front, i in self.index.items()]
+                                 for front, i in self.index.items() if front != there]
+
+    def open_fronts(self) -> None:
+        """Between fronts the doors are open always: who comes for one that is down is reset."""
+        for front in self.index:
+            self.up(front, True)
 
     def port(self, front: str, port: int) -> int:
         """Where `front` reaches what others reach at `port`."""
@@ -252,11 +264,15 @@
         return bool(pairs)
 
     def carry(self, door: Door, sock: socket.socket) -> None:
-        at = "list" if door.there == "list" else f"node:{door.there}"
+        at = "list" if door.there == "list" else \
+            f"{'front' if door.there in self.index else 'node'}:{door.there}"
         self.records.write(at, "handshake", front=door.front)
         seen = (Told if door.there == "list" else SetUps)(self, door)
         there = Way(self.loop, self.troubles[door.front, door.there], seen.asked, nobody)
         back = Way(self.loop, self.troubles[door.there, door.front], nobody, seen.answered)
+        if door.there in self.index:
+            own = b'"port":%d' % self.port(door.front, 0)
+            back.shape = lambda data: self.ports.sub(own, data)
         task = self.loop.create_task(self.join(door, sock, there, back))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
--- a/curlewhall/start/decide.py
+++ b/curlewhall/start/decide.py
@@ -21,6 +21,8 @@
 WATCHED = 90 * DAY  # node-seconds after which what was seen counts half: fleets change their ways
 BELIEVED = 0.8  # the trust from which on a kept list's nodes get plays before they have answered
 FORGOTTEN = 0.05  # below, a kept list names hardly a node that is still there
+FRESH = 5.0  # seconds about which a front that the service is out of reach for asks a peer again
+LENT, LENT_LATER = 2, 1.0  # whole lists that a front hands out in a second; after which others come back
 ASKED = 30.0  # a Retry-After beyond it is taken for this: the front would be blind for longer than lists hold
 
 
@@ -101,6 +103,10 @@
             self.life, self.version, self.latest = life, version, version
         return not self.behind
 
+    def lent(self, life: str, version: int) -> None:
+        """A peer's list is gone by; the service is asked whether it stands."""
+        self.life, self.version, self.latest, self.behind = life, version if life else 0, version, False
+
     def follows(self, life: str, since: int, version: int) -> bool:
         """Whether a change follows on what is had; if so, it is had from now on. `gap` is yours to say."""
         self.waits.anew()
@@ -207,8 +213,14 @@
     """
 
     def __init__(self) -> None:
-        self.unsure: set[str] = set()
-        self.trust, self.blind = 1.0, False  # blind: the service has not spoken since this list was kept
+        self.unseen: set[str] = set()  # not believed until they answer
+        self.strangers: set[str] = set()  # another answered at their address
+        self.trust, self.blind = 1.0, False  # blind: the service has not spoken since this list was had
+
+    @property
+    def unsure(self) -> set[str]:
+        """The nodes that get no plays."""
+        return self.unseen | self.strangers
 
     @property
     def forgotten(self) -> bool:
@@ -216,21 +228,109 @@
         return self.trust < FORGOTTEN
 
     def kept(self, nodes: set[str], trust: float) -> None:
-        """A kept list is all there is."""
+        """A list that nobody has confirmed since is all there is: this front's own, or a peer's."""
         self.trust, self.blind = trust, True
-        self.unsure = set() if trust >= BELIEVED else set(nodes)
+        self.unseen = set() if trust >= BELIEVED else set(nodes)
+        self.strangers &= nodes
 
     def answered(self, node: str, named: str) -> bool | None:
         """A node's stream began, and whoever answers calls itself `named`. True: from now on it may get
         plays; False: not any more; None: nothing changes.
         """
-        if not self.blind or (node in self.unsure) == (node != named):
+        was = node in self.unsure
+        if not self.blind:
             return None
-        (self.unsure.discard if node == named else self.unsure.add)(node)
-        return node == named
+        self.unseen.discard(node)
+        (self.strangers.discard if node == named else self.strangers.add)(node)
+        now = node != named
+        return None if was == now else not now
 
     def spoken(self) -> set[str]:
-        """The service has confirmed what was kept: the nodes that may get plays now and could not before."""
-        freed, self.unsure = self.unsure, set()
+        """The service has confirmed what was had: the nodes that may get plays now and could not before."""
+        freed, self.unseen, self.strangers = self.unsure, set(), set()
         self.trust, self.blind = 1.0, False
         return freed
+
+
+class Had(NamedTuple):
+    """What a front says of its list; `seconds`: since the service confirmed it, None: unknown."""
+
+    life: str
+    version: int
+    seconds: float | None
+
+
+def better(mine: Had, theirs: Had) -> bool:
+    """Whether a peer's list is to be taken in place of one's own.
+
+    In one life the later version, and of equal ones that confirmed later, by a second at least: what passes
+    from front to front must not go round for nothing. Of two lives the one that was confirmed later. Danger:
+    in one life an older list, however lately somebody had it confirmed, would call drained nodes back.
+    """
+    if theirs.seconds is None or not theirs.version:
+        return False
+    younger = mine.seconds is None or theirs.seconds < mine.seconds - 1
+    if not mine.version:
+        return True
+    if mine.life and mine.life == theirs.life:
+        return theirs.version > mine.version or theirs.version == mine.version and younger
+    return younger
+
+
+class Borrows:
+    """When a front asks a peer for the list, and which.
+
+    Only while the service has not spoken, or is out of reach. Peers come in an order that is drawn, each once
+    before any comes again; one that asked for time gets it. All may be as young as the asker: nobody asks on
+    another's behalf, so a circle of such fronts costs each an ask now and then and ends with the first list.
+    """
+
+    def __init__(self, seed: int, peers: list[int], fronts: int) -> None:
+        self.draw, self.peers, self.order = Draw(seed, "peers"), sorted(peers), []
+        self.first = span(BARE, fronts, BARE_IN_ALL)
+        self.waits, self.not_before = Waits(self.draw, LEAST, FIRST, MOST), dict.fromkeys(peers, 0.0)
+
+    def begin(self, bare: bool) -> float | None:
+        """The wait before the first ask; None: not before the service has failed."""
+        return self.draw.between(0.0, self.first) if bare and self.peers else None
+
+    def next(self, now: float) -> int | None:
+        """The peer to ask now; None: all have asked for time."""
+        for _ in range(2):
+            for i, peer in enumerate(self.order):
+                if self.not_before[peer] <= now:
+                    return self.order.pop(i)
+            if len(self.order) == len(self.peers):
+                break
+            self.order = self.draw.random.sample(self.peers, len(self.peers))
+        return None
+
+    def ended(self, now: float, peer: int | None, took: bool, retry_after: float | None = None) -> float:
+        """The wait before the next ask. `took`: the peer's word was had, new or not."""
+        if peer is not None and retry_after is not None and retry_after >= 0:
+            self.not_before[peer] = now + min(ASKED, retry_after)
+        if not took:
+            return self.waits.next()
+        self.waits.anew()
+        return self.draw.between(0.5 * FRESH, 1.5 * FRESH)
+
+
+class Lends:
+    """To how many peers a front hands its list, and whether it has one to hand out."""
+
+    def __init__(self) -> None:
+        self.second, self.count = 0, 0
+
+    def may(self, now: float) -> bool:
+        """Danger: a fleet without lists would turn to the few that have one, and they serve viewers too."""
+        if int(now) != self.second:
+            self.second, self.count = int(now), 0
+        self.count += 1
+        return self.count <= LENT
+
+    @staticmethod
+    def sound(had: Had, trust: float) -> bool:
+        """Danger: a list that goes from front to front grows old on the way; its age adds up, and what is not
+        believed any more is not handed on.
+        """
+        return had.version > 0 and had.seconds is not None and trust >= BELIEVED
--- a/tests/standins/test_links.py
+++ b/tests/standins/test_links.py
@@ -28,7 +28,7 @@
         self.timers, self.came, self.gone = Timers(self.loop), [], []
         self.path = tmp_path / "links.jsonl"
         self.records = Writer(self.path)
-        plan = {"links": {"port": link}, "fronts": [{"name": "front-0"}],
+        plan = {"links": {"port": link}, "fronts": [{"name": "front-0", "address": f"{net}.3", "port": PORT}],
                 "list_service": {"address": f"{net}.1", "port": PORT},
                 "nodes": [{"node": "n0", "address": f"{net}.2", "port": PORT}]}
         self.links, self.answers = Links(self.loop, plan, self.records), True
--- a/tests/start/test_belief.py
+++ b/tests/start/test_belief.py
@@ -7,8 +7,21 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from curlewhall.start import Asks, Belief, Churn, Stamp, Turns, age
-from curlewhall.start.decide import ASKED, BELIEVED, DAY, LONGEST, NODE_RATE, STREAMS_IN_ALL, WATCHED
+from curlewhall.start import Asks, Belief, Borrows, Churn, Had, Lends, Stamp, Turns, age, better
+from curlewhall.start.decide import (
+    ASKED,
+    BELIEVED,
+    DAY,
+    FIRST,
+    FRESH,
+    LEAST,
+    LENT,
+    LONGEST,
+    MOST,
+    NODE_RATE,
+    STREAMS_IN_ALL,
+    WATCHED,
+)
 
 NODES = [f"n{i:03}" for i in range(40)]
 
@@ -92,6 +105,72 @@
     assert belief.answered("n1", "stranger") is None and not belief.unsure
 
 
+def test_a_peers_list_is_taken_once_believed_and_a_stranger_stays_one():
+    belief = Belief()
+    belief.kept({"n1", "n2", "n3"}, 0.5)
+    assert belief.answered("n1", "other") is None and belief.answered("n2", "n2") is True
+    belief.kept({"n1", "n2", "n3"}, 0.9)  # a peer had it confirmed lately
+    assert belief.unsure == {"n1"} and belief.answered("n1", "n1") is True
+    belief.answered("n3", "other")
+    belief.kept({"n1"}, 0.9)  # a list that does not name it any more
+    assert belief.unsure == set()
+
+
+@pytest.mark.parametrize(("mine", "theirs", "takes"), [
+    (("", 0, None), ("a", 3, 9.0), True), (("", 0, None), ("a", 3, None), False),
+    (("", 0, None), ("", 0, 1.0), False), (("a", 3, 9.0), ("a", 4, 99.0), True),
+    (("a", 3, 9.0), ("a", 3, 8.5), False), (("a", 3, 9.0), ("a", 3, 7.0), True),
+    (("a", 3, None), ("a", 3, 7.0), True), (("a", 3, 900.0), ("a", 2, 0.0), False),
+    (("a", 30, 9.0), ("b", 2, 7.0), True), (("a", 30, 9.0), ("b", 2, 10.0), False),
+    (("", 30, 9.0), ("", 31, 20.0), False), (("", 30, 9.0), ("", 31, 2.0), True)])  # no life: by age alone
+def test_which_of_two_lists_is_gone_by(mine, theirs, takes):
+    assert better(Had(*mine), Had(*theirs)) is takes
+    assert not (takes and better(Had(*theirs), Had(*mine)))
+
+
+def test_peers_are_asked_in_an_order_of_ones_own_and_one_that_asks_for_time_gets_it():
+    firsts = [Borrows(seed, list(range(9)), 10).next(0.0) for seed in range(300)]
+    assert max(Counter(firsts).values()) < 60
+    borrows = Borrows(1, [3, 4, 5], 4)
+    assert {borrows.next(0.0) for _ in range(3)} == {3, 4, 5}
+    assert borrows.ended(0.0, 4, False, 5.0) <= FIRST
+    assert sorted(borrows.next(1.0) for _ in range(4)) == [3, 3, 5, 5]
+    assert borrows.next(5.0) == 4
+    for peer in (3, 4, 5):
+        borrows.ended(6.0, peer, False, 1e9)
+    assert borrows.next(7.0) is None and borrows.next(6.0 + ASKED) in (3, 4, 5)
+
+
+def test_waits_for_peers_grow_while_nobody_has_a_list_and_are_long_once_it_is_had():
+    borrows = Borrows(1, [3], 200)
+    assert Borrows(1, [], 200).begin(True) is None and borrows.begin(False) is None
+    assert 0 <= borrows.begin(True) <= 1
+    waits = [borrows.ended(0.0, 3, False) for _ in range(100)]
+    assert LEAST <= min(waits) and FIRST < max(waits) <= MOST
+    assert 0.5 * FRESH <= borrows.ended(0.0, 3, True) <= 1.5 * FRESH
+    assert borrows.ended(0.0, 3, False) <= FIRST
+
+
+def test_a_front_hands_out_so_many_lists_a_second_and_only_what_is_believed():
+    lends = Lends()
+    assert [lends.may(1.0 + i / 10) for i in range(5)] == [True] * LENT + [False] * (5 - LENT)
+    assert lends.may(2.0)
+    assert [Lends.sound(Had("a", version, seconds), trust) for version, seconds, trust in (
+        (3, 5.0, 1.0), (0, 5.0, 1.0), (3, None, 0.0), (3, 1e6, 0.5), (3, 5.0, BELIEVED))] == [
+            True, False, False, False, True]
+
+
+@given(st.integers(0, 1000), st.lists(st.tuples(st.floats(0, 5), st.booleans(), st.one_of(
+    st.none(), st.floats(allow_nan=True))), max_size=60))
+def test_a_front_without_a_list_asks_on_whatever_its_peers_answer(seed, answers):
+    borrows, now = Borrows(seed, [0, 1, 2], 4), 0.0
+    for pause, took, retry_after in answers:
+        now += pause
+        wait = borrows.ended(now, borrows.next(now), took, retry_after)
+        assert 0 < wait <= max(MOST, 1.5 * FRESH)
+    assert borrows.next(now + ASKED) is not None
+
+
 class Following(RuleBasedStateMachine):
     """A front and any service: waits have an end, and nothing older than what is had is taken."""
 
--- a/tests/start/test_start_faults.py
+++ b/tests/start/test_start_faults.py
@@ -100,6 +100,70 @@
                       if n["node"] in ("n001", "n002")} == {"serving"})
 
 
+def test_fronts_without_lists_get_them_from_the_one_that_has_one(tmp_path):
+    """The service is away; one front kept its list, three lost theirs and ask each other in a circle."""
+    plan, names = begun(tmp_path)
+    with Processes(plan) as fleet:
+        poll(lambda: len(kept(tmp_path)) == FRONTS and listed(plan))
+        fleet.fault("list", "down", 1)
+        again(fleet, names, lambda: [path.unlink() for path in kept(tmp_path)])
+        assert play(plan, 0, "clip-00", "v0") == 503  # nobody has any
+        for name in names[:1]:
+            fleet.kill_front(name)
+            data = b'{"how":"whole"}'
+            (tmp_path / f"{name}.list").write_bytes(data)  # torn or of nobody: started without, and said
+            fleet.start_front(name)
+            fleet.await_front(name)
+        assert play(plan, 0, "clip-00", "v1") == 503
+        fleet.fault("list", "down", 0)
+        fleet.fault("list", "capacity", 1.0)
+        poll(lambda: all(one["list"]["version"] for one in map(state, plan["fronts"])))
+        ages = [one["list"]["age_s"] for one in map(state, plan["fronts"])]
+        assert all(0 <= age < 20 for age in ages)
+        poll(lambda: listed(plan))
+        assert {play(plan, i, "clip-00", f"w{i}") for i in range(FRONTS)} == {200}
+    rows = written(plan)
+    begun_again = [row["t"] for row in rows if row["what"] == "fault" and row["kind"] == "capacity"][0]
+    wholes = [row for row in rows if row["what"] == "said" and row["how"] == "whole"
+              and row["t"] > begun_again]
+    assert 1 <= len(wholes) <= FRONTS
+
+
+def test_a_list_grows_old_on_its_way_from_front_to_front_and_drains_come_by_it(tmp_path):
+    """One front alone reaches the service; the rest hear through it, and through each other."""
+    plan, names = begun(tmp_path)
+    with Processes(plan) as fleet:
+        poll(lambda: len(kept(tmp_path)) == FRONTS and listed(plan))
+        for name in names[1:]:
+            fleet.fault(f"link:{name}>list", "cut", 1)
+            fleet.fault(f"link:list>{name}", "cut", 1)
+        fleet.fault(f"link:{names[3]}>{names[0]}", "cut", 1)  # this one hears through others alone
+        fleet.fault("n001", "drain", 1)
+        poll(lambda: all(one["list"]["version"] == 2 for one in map(state, plan["fronts"])), span=60)
+        told = [{n["state"] for n in state(front)["nodes"] if n["node"] == "n001"}
+                for front in plan["fronts"]]
+        assert told == [{"draining"}] * FRONTS
+        assert not state(plan["fronts"][3])["list"]["reached"]
+        for name in names[1:]:
+            fleet.fault(f"link:{name}>list", "cut", 0)
+            fleet.fault(f"link:list>{name}", "cut", 0)
+        poll(lambda: listed(plan), span=40)
+    said = [row for row in written(plan) if row["what"] == "said" and row["how"] == "whole"]
+    assert len(said) == FRONTS  # at their first start
+
+
+@pytest.mark.parametrize("proof", ["", "Bearer nonsense"])
+def test_lists_are_for_fronts_of_the_fleet(tmp_path, proof):
+    plan, names = begun(tmp_path)
+    with Processes(plan):
+        poll(lambda: listed(plan))
+        where = plan["fronts"][0]
+        asked = urllib.request.Request(f"http://{where['address']}:{where['port']}/v1/list?have=0",
+                                       headers={"authorization": proof})
+        with pytest.raises(urllib.error.HTTPError, match="403"):
+            urllib.request.build_opener(urllib.request.ProxyHandler({})).open(asked, timeout=20)
+
+
 def test_a_service_that_takes_requests_and_never_answers_locks_nobody_out(tmp_path):
     plan, names = begun(tmp_path)
     with Processes(plan) as fleet:
