A front says that it is ready once it can place plays, or decline them with reason

Log line, /v1/health and the daemon's ready (sd_notify) come once a node may get plays, or the list service's first word or failure is known, 5 s at the latest; what arrives before is answered at once. Before: as soon as the sockets were open, with no list.

--- a/curlewhall/daemon/worker.py
+++ b/curlewhall/daemon/worker.py
@@ -98,6 +98,7 @@
             self.front.follower.spread = lambda *facts: self.daemon.send("spread", *facts)
         if coming is not None:
             coming.serving()
+        await self.front.ready.wait()
         self.daemon.send("ready")
         calm_collector()
 
--- a/curlewhall/drills/fleet.py
+++ b/curlewhall/drills/fleet.py
@@ -296,9 +296,11 @@
             row["address"], row["port"] = self.plan["stranger"]["address"], self.plan["stranger"]["port"]
         if wrong:
             kept["life"] = "former"  # what is wrong can't be confirmed by a version that stands
-        if days:
-            kept["kept"] |= {"unix_ms": int(time.time() * 1000 - 86_400_000 * days), "boot": ""}
+        then = time.time() - 86_400 * days
+        if days and "kept" in kept:
+            kept["kept"] |= {"unix_ms": int(1000 * then), "boot": ""}
         path.write_text(json.dumps(kept))
+        os.utime(path, (then, then))
 
     def set_disk(self, name: str, fault: str) -> None:
         """What the disk of a front's state does from now on, see `faulty`."""
--- a/curlewhall/front/listing.py
+++ b/curlewhall/front/listing.py
@@ -8,7 +8,8 @@
 from urllib.parse import quote
 
 from curlewhall.inventory.form import Inventory
-from curlewhall.start import Asks, Belief, Churn, Stamp, age
+from curlewhall.start import Asks, Belief, Churn, Stamp, age, ready
+from curlewhall.start.decide import UNREADY
 from curlewhall.wire import forms
 from curlewhall.wire.client import Pool, Reply
 from curlewhall.wire.http import request_bytes
@@ -60,6 +61,8 @@
         self.keeping, self.unkept = None, False  # a write under way; whether more is known than it holds
         self.written_at = 0.0
         self.borrower = lists.NoBorrower()
+        self.began, self.outcome = time.monotonic(), pool is None  # whether the service's first word is known
+        self.on_ready: Callable[[], None] | None = None
         self.drained: set[str] = set()  # by this front's operator, whatever the list says
         self.belief, self.churn = Belief(), Churn()
         self.stamp, self.stamped = Stamp(0, "", 0.0), 0.0  # when the list was last confirmed; steady seconds
@@ -87,6 +90,21 @@
             self.turn = self.driver.timers.after(wait, self.subscribe)
             self.borrower.start()
 
+    def when_ready(self, call: Callable[[], None]) -> None:
+        """Call it once this front can place plays, or decline them with reason."""
+        self.on_ready = call
+        self.driver.timers.after(UNREADY, self.look_ready)
+        self.look_ready()
+
+    @property
+    def ready(self) -> bool:
+        return ready(len(self.sure(self.rows.values())), self.outcome, time.monotonic() - self.began)
+
+    def look_ready(self) -> None:
+        if self.on_ready is not None and self.ready:
+            call, self.on_ready = self.on_ready, None
+            call()
+
     @property
     def astray(self) -> bool:
         """Whether the list service has left this front without its word."""
@@ -144,6 +162,7 @@
         now, unix = self.driver.clock.now(), int(time.time() * 1000)
         self.driver.listed("changes", [module_row(self.shown(row), now, unix) for row in rows])
         self.driver.moves.listed(self.sure(self.rows.values()), now, unix)
+        self.look_ready()
 
     def sure(self, rows) -> list[forms.Row]:
         """Those that may get plays, as they are shown."""
@@ -222,7 +241,7 @@
         """The service has confirmed what this front goes by, but for what it tells next; the nodes that may
         get plays by that.
         """
-        now, spoken, self.spoken = time.monotonic(), self.spoken, True
+        now, spoken, self.spoken, self.outcome = time.monotonic(), self.spoken, True, True
         self.churn.saw(changes, len(self.rows) * (now - self.stamped) if spoken else 0.0)
         self.stamped, self.stamp = now, stamp()
         return self.belief.spoken()
@@ -245,6 +264,7 @@
         if self.tell is not None:
             self.tell(listing)
         self.driver.log.info("list", how=how, version=listing.version, rows=len(rows))
+        self.look_ready()
         if how != "old_copy":
             self.keep()
 
@@ -342,6 +362,8 @@
             self.failing = True
             self.driver.listed("failed", [])
             self.driver.log.warning("the list service is out of reach", how=reply.ending)
+        self.outcome = True
+        self.look_ready()
         shed = reply.message is not None and reply.message.status == 503
         after = reply.message.headers.get("retry-after", "") if shed else ""
         seconds = float(after) if after.isascii() and after.isdigit() else None
--- a/curlewhall/front/serve.py
+++ b/curlewhall/front/serve.py
@@ -117,7 +117,7 @@
         self.driver.moves = Moves(self.driver, self.timers, (mover or Mover)(
             self.driver.clock.now(), card, drain_within))
         self.server = self.console = None
-        self.hurried = False
+        self.hurried, self.ready = False, asyncio.Event()
         if coming is not None:
             coming.take_up(self)
 
@@ -185,7 +185,13 @@
             if self.peer_task is not None:
                 await self.peer_task
             self.peers.members.start()
+        self.follower.when_ready(self.tell_ready)
+
+    def tell_ready(self) -> None:
+        """Viewers were answered from the first moment; from now on they may be sent here."""
+        where = self.file.listen
         self.log.info("ready", front=self.file.identity.name, address=where.address, port=where.port)
+        self.ready.set()
 
     def open_console(self, page: socket.socket) -> None:
         from curlewhall.console.run import Console, read_token  # takes a while; many fronts have none
--- a/curlewhall/front/viewers.py
+++ b/curlewhall/front/viewers.py
@@ -52,6 +52,10 @@
                 self.take(exchange, unquote(url.path[6:]), url.query)
             except Wrong as err:
                 problems.answer(exchange, 400, str(err))
+        elif url.path == "/v1/health":
+            ready = self.open and (self.follower is None or self.follower.ready)
+            fields = {"content-type": "application/json", "cache-control": "no-store"}
+            exchange.reply(200 if ready else 503, fields, msgspec.json.encode({"ready": ready}))
         elif url.path == "/v1/list" and self.lender is not None:
             self.lender.asked(exchange, url.query)
         elif url.path == "/v1/state":
--- a/curlewhall/start/decide.py
+++ b/curlewhall/start/decide.py
@@ -21,6 +21,7 @@
 WATCHED = 90 * DAY  # node-seconds after which what was seen counts half: fleets change their ways
 BELIEVED = 0.8  # the trust from which on a kept list's nodes get plays before they have answered
 FORGOTTEN = 0.05  # below, a kept list names hardly a node that is still there
+UNREADY = 5.0  # seconds after which a front that has heard nothing at all serves as it is
 FRESH = 5.0  # seconds about which a front that the service is out of reach for asks a peer again
 LENT, LENT_LATER = 2, 1.0  # whole lists that a front hands out in a second; after which others come back
 ASKED = 30.0  # a Retry-After beyond it is taken for this: the front would be blind for longer than lists hold
@@ -334,3 +335,13 @@
         believed any more is not handed on.
         """
         return had.version > 0 and had.seconds is not None and trust >= BELIEVED
+
+
+def ready(sure: int, outcome: bool, waited: float) -> bool:
+    """Whether a front can place plays, or decline them with reason: it has nodes that may get them, or the
+    list service (where there is one) has spoken or failed it, or it has waited long enough for that.
+
+    Danger: who is told of a front too early sends viewers there who are turned away for nothing; who is never
+    told of one whose service is away misses a front that declines with a time to come back.
+    """
+    return sure > 0 or outcome or waited >= UNREADY
--- a/tests/start/test_belief.py
+++ b/tests/start/test_belief.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from curlewhall.start import Asks, Belief, Borrows, Churn, Had, Lends, Stamp, Turns, age, better
+from curlewhall.start import Asks, Belief, Borrows, Churn, Had, Lends, Stamp, Turns, age, better, ready
 from curlewhall.start.decide import (
     ASKED,
     BELIEVED,
@@ -160,6 +160,13 @@
             True, False, False, False, True]
 
 
+@pytest.mark.parametrize(("sure", "outcome", "waited", "told"), [
+    (0, False, 0.0, False), (0, False, 4.9, False), (1, False, 0.0, True), (0, True, 0.0, True),
+    (0, False, 5.0, True)])
+def test_when_a_front_says_that_it_is_ready(sure, outcome, waited, told):
+    assert ready(sure, outcome, waited) is told
+
+
 @given(st.integers(0, 1000), st.lists(st.tuples(st.floats(0, 5), st.booleans(), st.one_of(
     st.none(), st.floats(allow_nan=True))), max_size=60))
 def test_a_front_without_a_list_asks_on_whatever_its_peers_answer(seed, answers):
--- a/tests/start/test_start_faults.py
+++ b/tests/start/test_start_faults.py
@@ -100,6 +100,40 @@
                       if n["node"] in ("n001", "n002")} == {"serving"})
 
 
+def health(front):
+    where = f"http://{front['address']}:{front['port']}/v1/health"
+    try:
+        with urllib.request.build_opener(urllib.request.ProxyHandler({})).open(where, timeout=20) as answer:
+            return answer.status
+    except urllib.error.HTTPError as err:
+        return err.code
+    except OSError:
+        return 0  # not up yet
+
+
+def test_a_front_says_that_it_is_ready_once_it_can_place_or_knows_why_not(tmp_path):
+    plan, names = begun(tmp_path)
+    with Processes(plan) as fleet:
+        poll(lambda: len(kept(tmp_path)) == FRONTS and listed(plan))
+        assert [health(front) for front in plan["fronts"]] == [200] * FRONTS
+        fleet.fault("link:list>*", "stall", 1)  # the service is asked, and says nothing
+        for name in names[:2]:
+            fleet.kill_front(name)
+        (tmp_path / f"{names[0]}.list").unlink()
+        for name in names[1:]:  # nor does any peer
+            fleet.fault(f"link:{names[0]}>{name}", "cut", 1)
+        for name in names[:2]:
+            fleet.start_front(name)
+        poll(lambda: health(plan["fronts"][1]) == 200)  # by its kept list
+        fleet.await_front(names[1])
+        poll(lambda: health(plan["fronts"][0]) == 503)
+        assert play(plan, 0, "clip-00", "v0") == 503  # answered, not held
+        fleet.fault("link:list>*", "stall", 0)
+        poll(lambda: health(plan["fronts"][0]) == 200)
+        fleet.await_front(names[0])
+        poll(lambda: play(plan, 0, "clip-00", "v1") == 200)
+
+
 def test_fronts_without_lists_get_them_from_the_one_that_has_one(tmp_path):
     """The service is away; one front kept its list, three lost theirs and ask each other in a circle."""
     plan, names = begun(tmp_path)
