--- a/curlewhall/front/listing.py
+++ b/curlewhall/front/listing.py
@@ -47,11 +47,12 @@
 class Follower:
     """One subscription, asked for again with growing pauses while it can't be had (`start.decide`)."""
 
-    def __init__(self, driver: Driver, pool: Pool | None, front: str, kept: str = "", seed: int = 0) -> None:
+    def __init__(self, driver: Driver, pool: Pool | None, front: str, kept: str = "", seed: int = 0,
+                 helped: bool = False) -> None:
         self.driver, self.pool, self.front, self.kept = driver, pool, front, kept
         self.rows: dict[str, forms.Row] = {}
         self.titles: dict[str, forms.Title] = {}
-        self.asks = Asks(seed, driver.card.get("fronts", 1))
+        self.asks = Asks(seed, driver.card.get("fronts", 1), helped)
         self.lines, self.stream, self.silence, self.failing = forms.Lines(), None, None, False
         self.spoken, self.watcher = False, None  # whether the service has; the operators' files
         self.leaving = False  # the successor follows; what it hears is told to this front
--- a/curlewhall/front/serve.py
+++ b/curlewhall/front/serve.py
@@ -100,11 +100,11 @@
                 lambda: sum(len(plays) for plays in self.driver.moves.mover.at.values()))
         service = None if not file.HasField("list_service") else Pool(
             self.loop, self.timers, file.list_service.address, file.list_service.port)
-        self.follower = Follower(self.driver, service, name, file.list_service.kept_file, seed)
-        self.viewers.follower, self.nodes.answered = self.follower, self.follower.answered
-        self.viewers.lender = Lender(self.follower, key)
         pools = {p.index: Pool(self.loop, self.timers, there.hostname, there.port)
                  for p in file.peer if p.url and (there := urlsplit(p.url)).hostname and there.port}
+        self.follower = Follower(self.driver, service, name, file.list_service.kept_file, seed, bool(pools))
+        self.viewers.follower, self.nodes.answered = self.follower, self.follower.answered
+        self.viewers.lender = Lender(self.follower, key)
         if service is not None and pools:
             self.follower.borrower = Borrower(self.follower, pools, key, seed)
         self.open_store()
--- a/curlewhall/start/decide.py
+++ b/curlewhall/start/decide.py
@@ -13,10 +13,12 @@
 
 BARE, BARE_IN_ALL = 0.005, 1.0  # a front's part of the span in which a fleet without lists asks; at most
 KEPT, KEPT_IN_ALL = 0.02, 4.0  # the same with kept lists: they go by those, and only have them confirmed
+HELPED_IN_ALL = 20.0  # the same, without lists but with peers to ask: the first that has one hands it on
 LEAST, FIRST = 0.1, 0.5  # the first wait after a stream that ended
 PART, MOST, LONGEST = 0.02, 2.0, 10.0  # the longest wait: a front's part; at least; at most
 NODE_RATE = 50.0  # streams a second that a whole fleet asks of a node, see `Turns`
 STREAMS_IN_ALL = 8.0  # beyond 400 fronts the rate grows instead: nodes drop plays of a front away for 12 s
+AWAY = 10.0  # the longest wait before a stream that broke is asked for again, for the same reason
 DAY = 86_400.0
 WATCHED = 90 * DAY  # node-seconds after which what was seen counts half: fleets change their ways
 BELIEVED = 0.8  # the trust from which on a kept list's nodes get plays before they have answered
@@ -75,9 +77,10 @@
     or of a service that names none, is worth no confirmation, and the whole list is asked for.
     """
 
-    def __init__(self, seed: int, fronts: int) -> None:
-        self.draw = Draw(seed, "list")
-        self.bare, self.kept = span(BARE, fronts, BARE_IN_ALL), span(KEPT, fronts, KEPT_IN_ALL)
+    def __init__(self, seed: int, fronts: int, helped: bool = False) -> None:
+        """`helped`: there are peers that may have the list."""
+        self.draw, self.kept = Draw(seed, "list"), span(KEPT, fronts, KEPT_IN_ALL)
+        self.bare = span(KEPT, fronts, HELPED_IN_ALL) if helped else span(BARE, fronts, BARE_IN_ALL)
         self.waits = Waits(self.draw, LEAST, FIRST, max(MOST, span(PART, fronts, LONGEST)))
         self.life, self.version = "", 0
         self.latest, self.behind = 0, False  # latest of this life; whether the service is before it
@@ -157,7 +160,8 @@
 
     def back(self) -> Waits:
         """The waits after a stream that ended: all fronts lose a node that dies in one moment."""
-        return Waits(self.draw, LEAST, max(FIRST, self.span), max(MOST, self.span))
+        least, most = max(LEAST, self.span / 4), min(AWAY, 1.25 * self.span)
+        return Waits(self.draw, least, max(FIRST, most), max(MOST, min(AWAY, 2 * self.span)))
 
 
 class Stamp(NamedTuple):
--- a/tests/start/test_start_decide.py
+++ b/tests/start/test_start_decide.py
@@ -6,7 +6,22 @@
 
 from bench.start import drawn, fixed, herd
 from curlewhall.start import Asks, Draw, Waits
-from curlewhall.start.decide import ASKED, BARE_IN_ALL, FIRST, KEPT_IN_ALL, LEAST, LONGEST, MOST
+from curlewhall.start.decide import (
+    ASKED,
+    BARE_IN_ALL,
+    FIRST,
+    HELPED_IN_ALL,
+    KEPT_IN_ALL,
+    LEAST,
+    LONGEST,
+    MOST,
+)
+
+
+def test_a_fleet_without_lists_that_has_peers_takes_its_time_with_the_service():
+    waits = [Asks(seed, 1000, helped=True).begin("", 0) for seed in range(1000)]
+    assert 19 < max(waits) <= HELPED_IN_ALL and max(Counter(map(int, waits)).values()) < 90
+    assert max(Asks(seed, 3, helped=True).begin("", 0) for seed in range(200)) <= 0.06
 
 
 @pytest.mark.parametrize(("life", "version", "fronts", "most", "asks"), [
