--- a/bench/start_fleet.py
+++ b/bench/start_fleet.py
@@ -49,14 +49,18 @@
 
 
 def service(rows, scene):
-    """The importance answered within its target over that asked, in the first seconds after the start."""
+    """The importance answered within its target over that asked, in the first seconds after the start; and the
+    same without the requests that came before any process listened.
+    """
     began = start.again(rows)
     if scene == "warm":
         began = min(row["t"] for row in rows if row["what"] == "ask") + int(start.END * SECONDS * 10_000)
     within = [row for row in rows if row["what"] not in ("ask", "answer", "no_answer", "hung_up")
               or began <= row["t"] <= began + FIRST * 10_000 + 50_000]
     asks = {r["ask"] for r in within if r["what"] == "ask" and r["t"] <= began + FIRST * 10_000}
-    return summary([r for r in within if r["what"] not in ("ask", "answer") or r["ask"] in asks])["service"]
+    nobody = {r["ask"] for r in rows if r["what"] == "no_answer" and r["how"] == "unreached"}
+    return [summary([r for r in within if r["what"] not in ("ask", "answer") or r["ask"] in some])["service"]
+            for some in (asks, asks - nobody)]
 
 
 def play(scene, seed, at, folder):
@@ -69,7 +73,7 @@
     report = run(f"start-{scene}", make, day).report
     rows = records.merged([folder / f"{who}.jsonl" for who in ("fleet", "crowd", "drill")])
     return {name: report[name] for name in SHOWN} | {
-        "service": service(rows, scene), "broken": sum(report["broken"].values()),
+        **dict(zip(("service", "service_of_taken"), service(rows, scene), strict=True)), "broken": sum(report["broken"].values()),
         "unanswered": report["unanswered"], "lag_ms": report["lag_ms"]}
 
 
