--- a/bench/start_fleet.py
+++ b/bench/start_fleet.py
@@ -49,8 +49,8 @@
 
 
 def service(rows, scene):
-    """The importance answered within its target over that asked, in the first seconds after the start; and the
-    same without the requests that came before any process listened.
+    """The importance answered within its target over that asked, in the first seconds after the start; and
+    the same without the requests that came before any process listened.
     """
     began = start.again(rows)
     if scene == "warm":
@@ -73,8 +73,8 @@
     report = run(f"start-{scene}", make, day).report
     rows = records.merged([folder / f"{who}.jsonl" for who in ("fleet", "crowd", "drill")])
     return {name: report[name] for name in SHOWN} | {
-        **dict(zip(("service", "service_of_taken"), service(rows, scene), strict=True)), "broken": sum(report["broken"].values()),
-        "unanswered": report["unanswered"], "lag_ms": report["lag_ms"]}
+        **dict(zip(("service", "service_of_taken"), service(rows, scene), strict=True)),
+        "broken": sum(report["broken"].values()), "unanswered": report["unanswered"], "lag_ms": report["lag_ms"]}
 
 
 def main(rev, seeds=(1,)):
