--- a/bench/start_fleet.py
+++ b/bench/start_fleet.py
@@ -74,7 +74,8 @@
     rows = records.merged([folder / f"{who}.jsonl" for who in ("fleet", "crowd", "drill")])
     return {name: report[name] for name in SHOWN} | {
         **dict(zip(("service", "service_of_taken"), service(rows, scene), strict=True)),
-        "broken": sum(report["broken"].values()), "unanswered": report["unanswered"], "lag_ms": report["lag_ms"]}
+        "broken": sum(report["broken"].values()), "unanswered": report["unanswered"],
+        "lag_ms": report["lag_ms"]}
 
 
 def main(rev, seeds=(1,)):
