--- /dev/null
+++ b/tests/start/test_start_drills.py
@@ -0,0 +1,46 @@
+"""Drills over links: what is kept is found kept, and a class that breaks a rule is caught through them too."""
+
+import json
+import subprocess
+import sys
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+CALLS = {
+    "herd": ["start-herd", "--draw", "1", "--seconds", "12", "--fronts", "4"],
+    "links": ["links", "--draw", "16", "--seconds", "12", "--fronts", "4"],  # once read as two allocations out
+    "deaf": ["start-restless", "--draw", "3", "--seconds", "14", "--fronts", "4", "--policy",
+             "curlewhall.drills.breakers:Deaf"],
+}
+
+
+@pytest.fixture(scope="module")
+def days(tmp_path_factory):
+    """All at once: what they wait for is time, not the processor."""
+    def play(name):
+        out = tmp_path_factory.mktemp("drill") / f"{name}.json"
+        done = subprocess.run([sys.executable, "-m", "curlewhall", "drill", *CALLS[name], "--json", str(out)],
+                              capture_output=True, text=True, timeout=120)
+        return done.returncode, json.loads(out.read_text()) if out.exists() else {}, done.stdout + done.stderr
+
+    with ThreadPoolExecutor(len(CALLS)) as pool:
+        return dict(zip(CALLS, pool.map(play, CALLS), strict=True))
+
+
+def test_a_fleet_that_ends_and_begins_at_once_is_sent_no_whole_list(days):
+    code, found, said = days["herd"]
+    assert code == 0, said
+    assert found["broken"] == {} and found["plays"] > 20 and found["told"] == 4 and found["wholes"] == 0
+
+
+def test_faults_between_processes_break_no_rule(days):
+    code, found, said = days["links"]
+    assert code == 0, said
+    assert found["broken"] == {} and found["plays"] > 20 and found["link_faults"] > 3
+    assert found["handshakes"] > 0
+
+
+def test_a_front_that_does_not_heed_drains_is_caught_by_what_came_through_its_link(days):
+    code, found, said = days["deaf"]
+    assert code == 1 and found["broken"].get("3", 0) > 0, said
