--- a/tests/start/test_start_drills.py
+++ b/tests/start/test_start_drills.py
@@ -1,4 +1,4 @@
-"""Drills over links: what is kept is found kept, and a class that breaks a rule is caught through them too."""
+"""Drills over links: what is kept is found kept; a class that breaks a rule is caught through them too."""
 
 import json
 import subprocess
@@ -9,7 +9,7 @@
 
 CALLS = {
     "herd": ["start-herd", "--draw", "1", "--seconds", "12", "--fronts", "4"],
-    "links": ["links", "--draw", "16", "--seconds", "12", "--fronts", "4"],  # once read as two allocations out
+    "links": ["links", "--draw", "16", "--seconds", "12", "--fronts", "4"],  # once misread
     "deaf": ["start-restless", "--draw", "3", "--seconds", "14", "--fronts", "4", "--policy",
              "curlewhall.drills.breakers:Deaf"],
 }
@@ -22,7 +22,8 @@
         out = tmp_path_factory.mktemp("drill") / f"{name}.json"
         done = subprocess.run([sys.executable, "-m", "curlewhall", "drill", *CALLS[name], "--json", str(out)],
                               capture_output=True, text=True, timeout=120)
-        return done.returncode, json.loads(out.read_text()) if out.exists() else {}, done.stdout + done.stderr
+        found = json.loads(out.read_text()) if out.exists() else {}
+        return done.returncode, found, done.stdout + done.stderr
 
     with ThreadPoolExecutor(len(CALLS)) as pool:
         return dict(zip(CALLS, pool.map(play, CALLS), strict=True))
