--- a/curlewhall/relay/decide.py
+++ b/curlewhall/relay/decide.py
@@ -10,8 +10,6 @@
 STEADY = 1.0  # a stream that told something for so long was sound: its end is no try that failed
 APART, LONGEST = 0.005, 1.0  # a front's part of the span over which a fleet moves to a new channel; at most
 WAY_IN, IN_ALL = 0.01, 2.0  # the same for connections to nodes at which sessions were found; at most
-BACK = (0.1, 0.5, 1.0)  # the longest waits before a node with sessions is tried again, by tries that failed
-LATER = len(BACK)
 KNOWN = 8.0  # what ended unheard has to be told to its viewer by then
 SPARE = 0.5  # of it, for a busy core and the way to the viewer
 DOUBTED = 3.0  # how long a node may be silent where a machine may have vanished
@@ -69,9 +67,7 @@
 
 
 class WaysIn:
-    """The waits until a front has a connection to a node at which sessions stand: a young one to each at
-    which some were found, any to one that broke its connections off.
-    """
+    """The waits until a young front has a connection to each node at which sessions were found."""
 
     def __init__(self, seed: int, fronts: int) -> None:
         self.draw, self.span = Draw(seed, "way in"), span(WAY_IN, fronts, IN_ALL)
@@ -80,12 +76,3 @@
         """Danger: a fleet that starts at once meets each node with all its fronts in one moment. What ends
         meanwhile is told on the connection that opens, well within `KNOWN`."""
         return self.draw.between(0.0, self.span)
-
-    def back(self, missed: int) -> float:
-        """The wait after so many tries in a row that failed; none after a connection that had come up.
-
-        Danger: a node that dies breaks off with all fronts in one moment, and fixed waits bring them back in
-        one. Drawn below what was waited before, so that what stood there is known no later.
-        """
-        most = BACK[min(missed, LATER) - 1] if missed else 0.0
-        return self.draw.between(0.5 * most, most)
--- a/curlewhall/relay/nodes.py
+++ b/curlewhall/relay/nodes.py
@@ -12,11 +12,12 @@
 from curlewhall.words import report_of
 
 from . import rtsp
-from .decide import LATER, Silences, WaysIn
+from .decide import Silences, WaysIn
 
 PROBE = 0.25  # seconds for a report; several times what a sound node takes
 QUIET = 3.0  # seconds without a word from a node, two attempts failed, until its sessions are taken for over
 SURE = 2  # attempts in a row to reach a node that must fail before its sessions are taken for ended
+PAUSES = (0.1, 0.5, 1.0)  # before it is tried again
 WAIT = 0.5  # seconds for last words of a node that the list calls gone
 LOOK = 0.5
 MOVED = 0.5  # seconds for the end of a session that was moved, which comes from its node by itself
@@ -263,13 +264,14 @@
                              sessions=len(node.standing))
             self.lost(node)
         elif not node.roads and node.pause is None:
-            node.pause = self.timers.after(self.ways_in.back(node.missed), self.reach, node)
+            pause = PAUSES[min(node.missed - 1, len(PAUSES) - 1)] if node.missed else 0.0
+            node.pause = self.timers.after(pause, self.reach, node)
 
     def reach(self, node: Node) -> None:
         node.pause = None
         if (not self.closed and self.nodes.get(node.id) is node and not node.roads and node.standing
                 and self.road(node) is None):
-            node.pause = self.timers.after(self.ways_in.back(LATER), self.reach, node)
+            node.pause = self.timers.after(PAUSES[-1], self.reach, node)
 
     def look(self) -> None:
         """Connections long idle are closed before the node does it; silent nodes are reached anew."""
