Last read: one set of pools to peers, one reading of Retry-After, the boot's name read once

Read again, behaviour as before. Lists from peers opened pools to the same peers as the plays that a leaving front gives away (front/parting.py): both use the front's own now. Retry-After was parsed in two places (front/listing.py, front/lists.py). The boot's name was read from disk at each tick of the list; it does not change while a process lives.

--- a/bench/start.py
+++ b/bench/start.py
@@ -24,22 +24,17 @@
     return 0.0, lambda: next(pauses, 2.0)
 
 
-def drawn(seed, fronts, retry_after=1.0):
+def drawn(seed, fronts):
     front = Asks(seed, fronts)
-    return front.begin("", 0), lambda: front.ended(retry_after)
+    return front.begin("", 0), lambda: front.ended(1.0)
 
 
-def deaf(seed, fronts):
-    """Drawn, but Retry-After is not kept: jitter alone."""
-    return drawn(seed, fronts, None)
+def at_99(times, fronts):
+    """When 99 in 100 of the fronts had come so far."""
+    return sorted(times)[max(0, int(0.99 * fronts) - 1)]
 
 
-def confirmed(seed, fronts):
-    front = Asks(seed, fronts)
-    return front.begin("a", 7), lambda: front.ended(1.0)
-
-
-def herd(fronts, capacity, make, whole=True):
+def herd(fronts, capacity, make):
     """Most asks in a second and in a tenth, whole lists in all, and when 99 in 100 are current."""
     due = [(wait, seed, again) for seed in range(fronts) for wait, again in [make(seed, fronts)]]
     heapq.heapify(due)
@@ -48,14 +43,14 @@
         at, seed, again = heapq.heappop(due)
         seconds[int(at)] += 1
         tenths[int(at * 10)] += 1
-        if not whole or given[int(at)] < capacity:
-            given[int(at)] += whole
+        if given[int(at)] < capacity:
+            given[int(at)] += 1
             current.append(at)
         else:
             heapq.heappush(due, (at + again(), seed, again))
     return {"asks_in_a_second": max(seconds.values()), "asks_in_a_tenth": max(tenths.values()),
             "asks": sum(seconds.values()), "wholes": sum(given.values()),
-            "current_99": sorted(current)[max(0, int(0.99 * fronts) - 1)]}
+            "current_99": at_99(current, fronts)}
 
 
 def fleet(fronts, capacity, kept=False, peers=True, confirm=True, jitter=True, retry=1.0):
@@ -66,7 +61,7 @@
     borrows = [Borrows(seed, [p for p in range(fronts) if p != seed], fronts) for seed in range(fronts)]
     lends = [Lends() for _ in range(fronts)]
     had, confirmed, due, order = dict.fromkeys(range(fronts), 0.0) if kept else {}, {}, [], count()
-    seconds, wholes, size, lent, borrowed = Counter(), Counter(), Counter(), Counter(), Counter()
+    seconds, wholes, size, lent = Counter(), Counter(), Counter(), Counter()
 
     def at(when, what, front):
         heapq.heappush(due, (when, next(order), what, front))
@@ -93,8 +88,7 @@
             peer = borrows[front].next(now)
             if peer is None or peer not in had:
                 at(now + borrows[front].ended(now, peer, False), "peer", front)
-            elif front in had:
-                borrowed[peer, int(now)] += 1  # whether its list still stands: a short answer
+            elif front in had:  # whether its list still stands: a short answer
                 at(now + borrows[front].ended(now, peer, True), "peer", front)
             elif lends[peer].may(now):
                 lent[peer, int(now)] += 1
@@ -103,13 +97,12 @@
                 at(now + borrows[front].ended(now, peer, True), "peer", front)
             else:
                 at(now + borrows[front].ended(now, peer, False, 1.0), "peer", front)
-    last = max(0, int(0.99 * fronts) - 1)
     return {"asks_in_a_second": max(seconds.values()), "wholes": sum(wholes.values()),
             "wholes_in_a_second": max(wholes.values(), default=0),
             "kb_in_a_second": max(size.values()) // 1000,
             "lent_in_a_second_by_one": max(lent.values(), default=0),
-            "had_99": round(sorted(had.values())[last], 2),
-            "confirmed_99": round(sorted(confirmed.values())[last], 2)}
+            "had_99": round(at_99(had.values(), fronts), 2),
+            "confirmed_99": round(at_99(confirmed.values(), fronts), 2)}
 
 
 def streams(fronts, nodes, drawn):
@@ -136,7 +129,7 @@
             if now >= down:
                 there.append(now)
                 break
-    return max(seconds.values()), round(sorted(there)[max(0, int(0.99 * fronts) - 1)] - down, 2)
+    return max(seconds.values()), round(at_99(there, fronts) - down, 2)
 
 
 def table(rows):
--- a/bench/start_fleet.py
+++ b/bench/start_fleet.py
@@ -1,6 +1,6 @@
 """Fronts as processes that all end and begin at one moment: the program as it is, beside an earlier version.
 
-    python bench/start_fleet.py REV      writes bench/results/start-fleet.md and start-fleet.json
+    python -m bench.start_fleet REV      writes bench/results/start-fleet.md and start-fleet.json
 
 Same rig, same seeds, both versions at the same time on one machine; stand-ins on loopback. REV is checked out
 beside the repository for as long as it takes. Times are from the moment at which the last front was started.
@@ -13,6 +13,7 @@
 from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 
+from bench.start import table
 from curlewhall import records
 from curlewhall.drills import start
 from curlewhall.drills.play import Day, run
@@ -100,12 +101,9 @@
 def write(rows):
     results = Path(__file__).parent / "results"
     (results / "start-fleet.json").write_text(json.dumps(rows, indent=1) + "\n")
-    heads = list(rows[0])
     (results / "start-fleet.md").write_text("\n".join([
         f"# {FRONTS} fronts as processes, {NODES} nodes, ended and begun at one moment (stand-ins, loopback)",
-        "",
-        "| " + " | ".join(head.replace("_", " ") for head in heads) + " |", "|" + " --- |" * len(heads),
-        *("| " + " | ".join(str(row[head]) for head in heads) + " |" for row in rows), ""]))
+        "", *table(rows)]))
 
 
 if __name__ == "__main__":
--- a/curlewhall/front/listing.py
+++ b/curlewhall/front/listing.py
@@ -16,18 +16,12 @@
 
 from . import lists
 from .driver import Driver
+from .lists import stamp
 from .nodes import module_row
 
 SILENT = 5.0  # seconds without a line, ticks included, after which a stream is taken for dead
 STATES = ("serving", "draining", "gone")
 KEEP_EVERY = 60.0  # seconds after which a list that is confirmed again and again is written again
-BOOT = Path("/proc/sys/kernel/random/boot_id")
-
-
-def stamp() -> Stamp:
-    """Now, for a list on disk. Without a boot's name (other systems) only the wall clock counts."""
-    boot = BOOT.read_text().strip() if BOOT.exists() else ""
-    return Stamp(int(time.time() * 1000), boot, time.clock_gettime(time.CLOCK_BOOTTIME) if boot else 0.0)
 
 
 def changed(old: dict[str, forms.Row], rows: list[forms.Row], whole: bool) -> int:
@@ -111,14 +105,11 @@
         """Whether the list service has left this front without its word."""
         return self.pool is not None and (self.failing or not self.spoken or self.asks.behind)
 
-    def now(self) -> Stamp:
-        return stamp()
-
-    def lent(self, listing: forms.Listing, seconds: float) -> bool:
+    def lent(self, listing: forms.Listing, seconds: float) -> None:
         """Go by a peer's list, confirmed so long ago, if it is better than what is had."""
+        if not lists.taken(self, listing, seconds):
+            return
         now = stamp()
-        if not lists.taken(self, listing, seconds, now):
-            return False
         self.stamp = Stamp(now.unix_ms - int(1000 * seconds), now.boot, now.steady - seconds)
         whole, before = listing.how == "whole", self.belief.unsure
         rows = {row.node for row in (listing.rows if whole else self.rows.values())}
@@ -129,7 +120,6 @@
         else:
             self.tell_module([self.rows[name] for name in sorted(before - self.belief.unsure & rows)])
         self.driver.log.info("list from a peer", version=listing.version, age_s=round(seconds), whole=whole)
-        return True
 
     def read(self, path: Path) -> None:
         """Go by the kept list, as far as its age lets it be believed. `OSError`, `Malformed`."""
@@ -365,10 +355,7 @@
             self.driver.log.warning("the list service is out of reach", how=reply.ending)
         self.outcome = True
         self.look_ready()
-        shed = reply.message is not None and reply.message.status == 503
-        after = reply.message.headers.get("retry-after", "") if shed else ""
-        seconds = float(after) if after.isascii() and after.isdigit() else None
-        self.turn = self.driver.timers.after(self.asks.ended(seconds), self.subscribe)
+        self.turn = self.driver.timers.after(self.asks.ended(lists.away(reply)), self.subscribe)
         self.borrower.wanted()
 
     def state(self) -> dict:
--- a/curlewhall/front/lists.py
+++ b/curlewhall/front/lists.py
@@ -6,7 +6,9 @@
 """
 
 import time
+from functools import cache
 from math import ceil
+from pathlib import Path
 from urllib.parse import parse_qsl, quote
 
 from curlewhall.dash import tokens
@@ -22,10 +24,29 @@
 AUDIENCE = "curlewhall:list"  # of an asker's token
 LIFE = 10.0  # seconds that it holds
 LIMIT = 1.0  # seconds for an answer: a list of 1,000 nodes takes some 10 ms
+BOOT = Path("/proc/sys/kernel/random/boot_id")
 
 
-def had(follower, now: Stamp) -> Had:
-    return Had(follower.asks.life, follower.asks.latest, age(follower.stamp, now))
+@cache
+def boot() -> str:
+    """The machine's boot by name; "" on other systems. It does not change while a process lives."""
+    return BOOT.read_text().strip() if BOOT.exists() else ""
+
+
+def stamp() -> Stamp:
+    """Now, for a list on disk. Without a boot's name only the wall clock counts."""
+    return Stamp(int(time.time() * 1000), boot(), time.clock_gettime(time.CLOCK_BOOTTIME) if boot() else 0.0)
+
+
+def had(follower) -> Had:
+    return Had(follower.asks.life, follower.asks.latest, age(follower.stamp, stamp()))
+
+
+def away(reply: Reply) -> float | None:
+    """For how many seconds whoever turned a request away asks to be left alone; None: it did not say."""
+    shed = reply.message is not None and reply.message.status == 503
+    after = reply.message.headers.get("retry-after", "") if shed else ""
+    return float(after) if after.isascii() and after.isdigit() else None
 
 
 class NoBorrower:
@@ -45,7 +66,7 @@
         self.follower, self.pools, self.key = follower, pools, key
         self.timers, self.turn, self.ask = follower.driver.timers, None, None
         self.borrows = Borrows(seed, list(pools), follower.driver.card.get("fronts", 1))
-        self.closed, self.count = False, 0  # count: lists taken
+        self.closed = False
 
     def start(self) -> None:
         wait = self.borrows.begin(bare=not self.follower.rows)
@@ -80,10 +101,8 @@
 
     def answered(self, peer: int, reply: Reply) -> None:
         self.ask = None
-        status = reply.message.status if reply.ending == "ok" else 0
-        if status != 200:
-            after = reply.message.headers.get("retry-after", "") if status == 503 else ""
-            self.again(peer, False, float(after) if after.isascii() and after.isdigit() else None)
+        if reply.ending != "ok" or reply.message.status != 200:
+            self.again(peer, False, away(reply))
             return
         try:
             listing = forms.decode(forms.Listing, reply.message.body)
@@ -93,15 +112,13 @@
             self.again(peer, False)
             return
         if self.follower.astray:
-            self.count += self.follower.lent(listing, seconds)
+            self.follower.lent(listing, seconds)
         self.again(peer, True)
 
     def close(self) -> None:
         self.closed = True
         if self.turn is not None:
             self.turn.cancel()
-        for pool in self.pools.values():
-            pool.close()
 
 
 class Lender:
@@ -117,7 +134,7 @@
         except tokens.BadToken as err:
             problems.answer(exchange, 403, f"lists are for fronts of this fleet: {err}")
             return
-        mine, given = had(follower, follower.now()), dict(parse_qsl(query))
+        mine, given = had(follower), dict(parse_qsl(query))
         if not follower.rows or not self.lends.sound(mine, follower.churn.trust(mine.seconds)):
             problems.answer(exchange, 404, "This front has no list that was confirmed lately")
             return
@@ -134,8 +151,8 @@
                        forms.encode(listing) + b"\n")
 
 
-def taken(follower, listing: forms.Listing, seconds: float, now: Stamp) -> bool:
+def taken(follower, listing: forms.Listing, seconds: float) -> bool:
     """Whether a peer's list, confirmed so long ago, is to be gone by."""
     theirs = Had(listing.life, listing.version, seconds if seconds >= 0 else None)
-    return listing.how in ("whole", "changes") and better(had(follower, now), theirs) and Lends.sound(
+    return listing.how in ("whole", "changes") and better(had(follower), theirs) and Lends.sound(
         theirs, follower.churn.trust(theirs.seconds))
--- a/curlewhall/front/parting.py
+++ b/curlewhall/front/parting.py
@@ -7,11 +7,9 @@
 
 import asyncio
 import time
-from urllib.parse import urlsplit
 
 from curlewhall.dash import tokens
 from curlewhall.wire import forms
-from curlewhall.wire.client import Pool
 from curlewhall.wire.http import request_bytes
 from curlewhall.wire.server import Exchange
 
@@ -30,12 +28,7 @@
     """The side of the front that leaves."""
 
     def __init__(self, front) -> None:
-        self.front, self.driver = front, front.driver
-        self.peers = []
-        for peer in front.file.peer:
-            if peer.url:
-                where = urlsplit(peer.url)
-                self.peers.append(Pool(front.loop, front.timers, where.hostname, where.port))
+        self.front, self.driver, self.peers = front, front.driver, list(front.fellows.values())
         self.given = 0
 
     async def all(self) -> int:
@@ -49,8 +42,6 @@
 
         if self.peers:
             await asyncio.gather(*(worker() for _ in range(min(OUT, len(waiting)))))
-        for pool in self.peers:
-            pool.close()
         return self.given
 
     async def one(self, held: Held) -> None:
--- a/curlewhall/front/serve.py
+++ b/curlewhall/front/serve.py
@@ -100,13 +100,14 @@
                 lambda: sum(len(plays) for plays in self.driver.moves.mover.at.values()))
         service = None if not file.HasField("list_service") else Pool(
             self.loop, self.timers, file.list_service.address, file.list_service.port)
-        pools = {p.index: Pool(self.loop, self.timers, there.hostname, there.port)
-                 for p in file.peer if p.url and (there := urlsplit(p.url)).hostname and there.port}
-        self.follower = Follower(self.driver, service, name, file.list_service.kept_file, seed, bool(pools))
+        self.fellows = {p.index: Pool(self.loop, self.timers, there.hostname, there.port)
+                        for p in file.peer if p.url and (there := urlsplit(p.url)).hostname and there.port}
+        self.follower = Follower(self.driver, service, name, file.list_service.kept_file, seed,
+                                 bool(self.fellows))
         self.viewers.follower, self.nodes.answered = self.follower, self.follower.answered
         self.viewers.lender = Lender(self.follower, key)
-        if service is not None and pools:
-            self.follower.borrower = Borrower(self.follower, pools, key, seed)
+        if service is not None and self.fellows:
+            self.follower.borrower = Borrower(self.follower, self.fellows, key, seed)
         self.open_store()
         drain_within = 10 * (file.moves.drain_within_ms or 30_000)
         if file.inventory.file:
@@ -232,6 +233,8 @@
     def close(self) -> None:
         """Close every socket and the state, whatever is under way."""
         self.follower.close()
+        for pool in self.fellows.values():
+            pool.close()
         self.nodes.close()
         if self.console is not None:
             self.console.close()
--- a/curlewhall/rules/judge.py
+++ b/curlewhall/rules/judge.py
@@ -62,8 +62,8 @@
     rows = list(records)
     by_what = grouped(rows)
     late = Lateness(by_what["lag"])
-    found = [*answers(by_what, late), *duplicates(rows, terms, late), *drains(rows, terms, late),
-             *crowds(by_what, terms),
+    found = [*answers(by_what, late), *duplicates(rows, terms, late),
+             *drains(rows, pauses(by_what), terms, late), *crowds(by_what, terms),
              *floors(by_what, terms), *seats(rows, terms), *budget(by_what, terms)]
     return sorted(found, key=lambda broken: (broken.t, broken.rule))
 
@@ -202,11 +202,13 @@
     return end is not None and end["what"] == "let_go" and end["t"] < setup["t"]
 
 
-def drains(rows: list[Record], terms: Terms, late: Lateness) -> Iterable[Broken]:
-    """Rule 3: nothing new to a node past the grace after its front was told that it drains or is gone."""
+def drains(rows: list[Record], still: dict, terms: Terms, late: Lateness) -> Iterable[Broken]:
+    """Rule 3: nothing new to a node past the grace after its front was told that it drains or is gone.
+
+    `still`: when fronts were paused.
+    """
     told: dict[tuple[str, str], Record] = {}
     known: dict[str, set[str]] = defaultdict(set)
-    still = pauses(grouped(row for row in rows if row["what"] in ("paused", "woken")))
     for row in rows:
         if row["what"] == "told":
             front, named = row["front"], {node for node, _, _ in row["rows"]}
