Sites: a lost zone is known after few nodes; refusals for it go by importance

Need: nothing knew what a site is. Each front found each dead node of a lost zone out alone, and declines fell on whom it happened to be.

Change: sites/ holds each zone whole, doubted, lost or returning from what allocations, streams and asks show, from the list and from other fronts' words (a new kind of membership's datagrams); hides a lost zone's nodes from the module by the list it is told; lets a return in by steps. The module gets one new call, thinned: up to which part of a node's room a product may be placed while room is lost, and meanwhile no rung above the one worth most for its rate. Off (null object) in the relay. The pool tells a refused connection from one that did not come up.

Cause, measured before the change (probe of the module's stages, 18 nodes, 8 fronts, one zone killed, stand-ins): dear and paid plays were declined in fitting at the two or three holders of the titles asked most, which stood at 0.95 to 1.6 of their links.

Viewers of the stand-ins may obey what they are told; faults of a whole site; drills site-loss, site-cut, site-flap, site-return.

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,8 @@
 	.venv/bin/python -m curlewhall demo
 
 test: .venv/ready
-	.venv/bin/python -m pytest -q
+	.venv/bin/python -m pytest -q -n auto --dist load -m "not days"
+	.venv/bin/python -m pytest -q -m days
 
 lint: .venv/ready
 	.venv/bin/ruff check --no-cache .
--- a/curlewhall/cli/main.py
+++ b/curlewhall/cli/main.py
@@ -73,7 +73,8 @@
               help="Draw troubles, times and sizes by SEED.")
 @click.option("--seconds", type=click.FloatRange(5, 3600), default=20.0, show_default=True)
 @click.option("--nodes", type=click.IntRange(3, 180), default=14, show_default=True)
-@click.option("--fronts", type=click.IntRange(1, 40), default=3, show_default=True)
+@click.option("--fronts", type=click.IntRange(1, 40), default=None,
+              help="3, or what the drill itself takes to show anything.")
 @click.option("--policy", default=None, metavar="MODULE:CLASS")
 @click.option("--mover", default=None, metavar="MODULE:CLASS", help="Another mover, for comparison.")
 @click.option("--trouble", multiple=True, metavar="NAME", help="Only these kinds of trouble, by name.")
@@ -87,7 +88,7 @@
 
     Exit code 0: all rules kept and the drill's claims hold; 1: something broke; 2: the call was wrong.
     """
-    from curlewhall.drills import DRILLS, Day, run
+    from curlewhall.drills import DRILLS, FRONTS, Day, run
     from curlewhall.drills.fleet import Failed
     from curlewhall.front.serve import policy as named
 
@@ -98,8 +99,8 @@
         for given in filter(None, (policy, mover)):
             named(given)
         seed = 1 if draw is None else draw
-        day = Day(seconds, nodes, fronts, seed, draw is not None, policy, mover, trouble, keep,
-                  workers)
+        fronts = fronts or FRONTS.get(name, 3)
+        day = Day(seconds, nodes, fronts, seed, draw is not None, policy, mover, trouble, keep, workers)
         began = time.monotonic()
         result = run(name, DRILLS[name], day, lambda text: console.print(text, style="dim", highlight=False))
     except ValueError as err:
--- a/curlewhall/drills/__init__.py
+++ b/curlewhall/drills/__init__.py
@@ -13,11 +13,14 @@
 from .links import links
 from .play import Day, run
 from .restart import leave, restart, steady
+from .sites import SITES
 from .start import STARTS
 
 DRILLS = {"badday": badday, "drain": drain, "drain-frozen-target": drain_frozen_target,
           "drain-cold": drain_cold, "drain-rack": drain_rack, "drain-crowd": drain_crowd,
           "kill": kill, "disk": disk, "inventory": inventory, "restart": restart, "steady": steady,
-          "leave": leave, "links": links, **STARTS}
+          "leave": leave, "links": links, **STARTS, **SITES}
 
-__all__ = ["DRILLS", "Day", "run"]
+FRONTS = dict.fromkeys(SITES, 8)  # where fewer than that show nothing of what a drill is for
+
+__all__ = ["DRILLS", "FRONTS", "Day", "run"]
--- a/curlewhall/drills/fleet.py
+++ b/curlewhall/drills/fleet.py
@@ -165,6 +165,8 @@
     if plan.get("durability"):
         file.state.folder = str(Path(plan["folder"]) / f"{front['name']}.state")
         file.state.durability = int(plan["durability"] == "strict")
+    if plan.get("members"):
+        file.members.key_file = str(Path(plan["folder"]) / "members.key")
     file.logs.form, file.logs.level = front_pb2.JSON, "info"
     return text_format.MessageToString(file)
 
@@ -196,6 +198,10 @@
         key = self.folder / "key"
         key.touch(mode=0o600)
         key.write_bytes(secrets.token_bytes(32))
+        if self.plan.get("members"):
+            key = self.folder / "members.key"
+            key.touch(mode=0o600)
+            key.write_text(secrets.token_hex(32) + "\n")
         (self.folder / "plan.json").write_text(json.dumps(self.plan))
         if self.plan.get("inventory"):
             self.swap_inventory("in", "")
--- a/curlewhall/front/driver.py
+++ b/curlewhall/front/driver.py
@@ -12,6 +12,7 @@
 
 from curlewhall.interface import NodeRow
 from curlewhall.recovery.absent import NoKeeper
+from curlewhall.sites.absent import NoSites
 
 if TYPE_CHECKING:  # a door that speaks no HTTP loads none of it
     from curlewhall.wire.forms import Facts, Title
@@ -87,7 +88,7 @@
         self.busy = False
         self.plays: dict[str, Held] = {}
         self.viewers = self.nodes = self.peers = self.moves = None
-        self.keeper = NoKeeper()
+        self.keeper, self.sites = NoKeeper(), NoSites()
         self.heir = None  # once this front hands over: what goes on elsewhere is told to it
         self.elsewhere: dict[str, Held] = {}  # plays that this front's predecessor is still setting up
         self.counts = dict.fromkeys(("asked", "played", "declined", "failed", "left", "ended", "guarded",
@@ -177,6 +178,7 @@
         """A set-up's exchange is over: `ok` with its first frame, or one of the other endings."""
         held.out.pop(number, None)
         span = int(took * SECOND)
+        self.sites.set_up(node, how)
         if how != "ok" or held.closed:
             if how == "ok":
                 how = "withdrawn"
@@ -201,6 +203,7 @@
             if kind in report:
                 self.hear("note", held.facts.play, number, node, kind, report[kind])
                 self.moves.report(node, kind, report[kind])
+                self.sites.report(node, kind, report[kind])
         if first:
             if self.heir is not None:
                 self.heir.passed(held)
@@ -227,6 +230,7 @@
             self.hear("note", play, held.playing, node, kind, value)
             if kind != "delivered":
                 self.moves.report(node, kind, value)
+                self.sites.report(node, kind, value)
 
     def left(self, held: Held) -> None:
         """The viewer hung up before its answer."""
@@ -290,6 +294,7 @@
                 self.forgo(held)
                 return
             self.close(held, "declined")
+            self.sites.declined(held.facts.product)
             self.log.info("declined", play=play, away_ms=away / 10)
             self.viewers.decline(held, away)
             self.drop(held)
--- a/curlewhall/front/listing.py
+++ b/curlewhall/front/listing.py
@@ -151,13 +151,22 @@
     def tell_module(self, rows: list[forms.Row]) -> None:
         """Tell module and mover of nodes that may get plays now, or not any more; the list is as it was."""
         now, unix = self.driver.clock.now(), int(time.time() * 1000)
-        self.driver.listed("changes", [module_row(self.shown(row), now, unix) for row in rows])
+        self.driver.listed("changes", [self.for_module(self.shown(row), now, unix) for row in rows])
         self.driver.moves.listed(self.sure(self.rows.values()), now, unix)
         self.look_ready()
 
+    def for_module(self, row: forms.Row, now: int, unix: int):
+        told = module_row(row, now, unix)
+        return told._replace(started=self.driver.sites.cold(row, told.started))
+
+    @property
+    def unsure(self) -> set[str]:
+        """Nodes that get no plays, whatever the list says."""
+        return self.belief.unsure | self.driver.sites.hidden
+
     def sure(self, rows) -> list[forms.Row]:
         """Those that may get plays, as they are shown."""
-        return [self.shown(row) for row in rows if row.state != "gone" and row.node not in self.belief.unsure]
+        return [self.shown(row) for row in rows if row.state != "gone" and row.node not in self.unsure]
 
     def as_inventory(self) -> Inventory | None:
         """What this front goes by now; None where it knows nothing yet."""
@@ -247,10 +256,11 @@
                         if not self.refused(title.title, title)}
         self.version = listing.version
         self.driver.viewers.titles = self.titles
-        rows, unsure = [self.shown(row) for row in rows], self.belief.unsure
+        self.driver.sites.listed(rows, how != "changes")
+        rows, unsure = [self.shown(row) for row in rows], self.unsure
         now, unix = self.driver.clock.now(), int(time.time() * 1000)
         self.driver.nodes.listed(rows, whole=how != "changes")  # first: the module may allocate at once
-        self.driver.listed(how, [module_row(row, now, unix) for row in rows if row.node not in unsure])
+        self.driver.listed(how, [self.for_module(row, now, unix) for row in rows if row.node not in unsure])
         self.driver.moves.listed(self.sure(self.rows.values()), now, unix)
         if self.tell is not None:
             self.tell(listing)
--- a/curlewhall/front/nodes.py
+++ b/curlewhall/front/nodes.py
@@ -155,20 +155,42 @@
         if node is None:
             self.driver.hear("probed", name, "not_sent", 0, {})
             return
-        data = request_bytes("GET", "/v1/load", node.pool.host)
-        node.pool.ask(data, self.probe_limit, lambda reply: self.probed(name, reply))
+        self.ask_load(node, self.probe_limit, lambda reply: self.probed(name, reply))
+
+    def ask_load(self, node: Node, span: float, done: Callable[[Reply], None]) -> None:
+        node.pool.ask(request_bytes("GET", "/v1/load", node.pool.host), span, done)
 
     def probed(self, name: str, reply: Reply) -> None:
-        how, report = reply.ending, {}
-        if how == "ok":
-            try:
-                load = forms.decode(forms.Load, reply.message.body)
-                sound = reply.message.status == 200 and load.node == name
-                how, report = ("ok", load.report) if sound else ("error", {})
-            except forms.Malformed:
-                how = "error"
+        how, report = self.load(name, reply)
         self.driver.hear("probed", name, how, int(reply.took * 10_000), report)
 
+    @staticmethod
+    def load(name: str, reply: Reply) -> tuple[str, dict]:
+        """How a question for a node's load ended, and its report."""
+        if reply.ending != "ok":
+            return reply.ending, {}
+        try:
+            load = forms.decode(forms.Load, reply.message.body)
+        except forms.Malformed:
+            return "error", {}
+        sound = reply.message.status == 200 and load.node == name
+        return ("ok", load.report) if sound else ("error", {})
+
+    def look(self, name: str, span: float) -> None:
+        """Ask a node whether it is there, for the watch over sites; the module is not told."""
+        node = self.nodes.get(name)
+        if node is not None:
+            self.ask_load(node, span, lambda reply: self.looked(name, reply))
+
+    def looked(self, name: str, reply: Reply) -> None:
+        how, report = self.load(name, reply)
+        if how == "ok":
+            self.driver.sites.heard(name, "answered")
+            if "link_asked" in report:
+                self.driver.sites.report(name, "link_asked", report["link_asked"])
+        elif how != "not_sent":
+            self.driver.sites.heard(name, failure(reply))
+
     # ---- what a node tells
 
     def follow_later(self, node: Node, span: float) -> None:
@@ -208,6 +230,8 @@
         if node.pool.closed or self.leaving:
             return
         node.since = self.driver.clock.now()
+        if reply.ending in ("unreached", "broken"):
+            self.driver.sites.heard(node.row.node, failure(reply))
         if reply.ending == "unreached":
             # Refused: the process is gone and its plays with it.
             self.lost(node.row.node)
@@ -223,6 +247,7 @@
         if event.kind == "hello":
             self.hello(name, event)
             return
+        self.driver.sites.heard(name, "spoke")
         held = self.driver.plays.get(event.play)
         if held is None or event.kind == "tick":
             return
@@ -247,6 +272,9 @@
             self.driver.log.warning("a stranger answers at a node's address", node=name, found=event.node)
             return
         there = {facts.play: facts for facts in event.plays}
+        self.driver.sites.heard(name, "answered", any(
+            held.playing is not None and held.node == name for play in there
+            if (held := self.driver.plays.get(play)) is not None))
         elsewhere = self.driver.elsewhere
         gone = [(play, held) for play, held in self.driver.plays.items() if held.node == name
                 and held.playing is not None and play not in there]
@@ -286,6 +314,13 @@
             node.pool.close()
 
 
+def failure(reply: Reply) -> str:
+    """What an exchange that came to nothing shows of its node."""
+    if reply.ending == "unreached":
+        return "refused" if reply.why == "refused" else "silent"
+    return "silent" if reply.ending == "late" else "reset"
+
+
 def module_row(row: forms.Row, now: int, unix_ms: int) -> NodeRow:
     """The list's line on the module's clock; a start in the future is taken for now."""
     started = 0
--- a/curlewhall/front/serve.py
+++ b/curlewhall/front/serve.py
@@ -23,6 +23,7 @@
 from curlewhall.settings import rate_card
 from curlewhall.settings.front_pb2 import STRICT, FrontFile
 from curlewhall.settings.keys import read_keys
+from curlewhall.sites.run import Watch
 from curlewhall.start import Turns
 from curlewhall.wire.client import Pool
 from curlewhall.wire.http import Limits
@@ -108,6 +109,7 @@
         self.viewers.lender = Lender(self.follower, key)
         if service is not None and self.fellows:
             self.follower.borrower = Borrower(self.follower, self.fellows, key, seed)
+        self.driver.sites = Watch(self, file.identity.index, seed, lambda: self.viewers.titles)
         self.open_store()
         drain_within = 10 * (file.moves.drain_within_ms or 30_000)
         if file.inventory.file:
@@ -182,6 +184,7 @@
             self.open_console(page)
         self.server = Server(self.loop, self.timers, sock, self.viewers.handle, limits(self.file))
         self.follower.start()
+        self.driver.sites.start()
         if self.peers.members is not None:
             if self.peer_task is not None:
                 await self.peer_task
@@ -233,6 +236,7 @@
     def close(self) -> None:
         """Close every socket and the state, whatever is under way."""
         self.follower.close()
+        self.driver.sites.close()
         for pool in self.fellows.values():
             pool.close()
         self.nodes.close()
--- a/curlewhall/front/viewers.py
+++ b/curlewhall/front/viewers.py
@@ -251,7 +251,7 @@
                 "setting_up": sum(bool(held.out) for held in driver.plays.values()),
                 **({"members": driver.peers.members.state()} if driver.peers.members is not None else {}),
                 **({"list": self.follower.state()} if self.follower is not None else {}),
-                "nodes": driver.nodes.state()}
+                **driver.sites.state(), "nodes": driver.nodes.state()}
 
 
 def number(given: dict[str, str], name: str, plain: int, low: int, high: int) -> int:
--- a/curlewhall/interface.py
+++ b/curlewhall/interface.py
@@ -92,6 +92,10 @@
     def told(self, now: int, peer: int, body: bytes) -> Answers:
         """Another instance sent a message."""
 
+    def thinned(self, now: int, parts: Mapping[str, float]) -> Answers:
+        """Room is lost: plays of these products are placed only where a node's room is used to less than this
+        part (0 to 1), the rest is kept for dearer ones. Those not named are as ever; the last call holds."""
+
     def wake(self, now: int, label: int) -> Answers:
         """A wake asked for earlier is due."""
 
--- a/curlewhall/members/form.py
+++ b/curlewhall/members/form.py
@@ -19,7 +19,8 @@
 LARGEST = 256
 MOST_ROWS = (LARGEST - HEAD.size - HASH) // ROW.size
 
-PING, ACK, ASK, SYNC, LEAVE = range(1, 6)  # ASK: please ping `target` for me
+# ASK: please ping `target` for me; WORD: another subsystem's
+PING, ACK, ASK, SYNC, LEAVE, WORD = range(1, 7)
 ALIVE, SUSPECT, DEAD, LEFT = range(4)
 NOBODY = 0xFFFF  # no target
 
@@ -86,7 +87,7 @@
         raise Refused("no key of ours signed it")
     _, word, *facts, count = HEAD.unpack_from(body)
     kind = word & 15
-    if word >> 4 != VERSION or not PING <= kind <= LEAVE:
+    if word >> 4 != VERSION or not PING <= kind <= WORD:
         raise Refused(f"version {word >> 4}, kind {kind}")
     if len(body) != HEAD.size + count * ROW.size:
         raise Refused("its length is another")
--- a/curlewhall/members/run.py
+++ b/curlewhall/members/run.py
@@ -3,7 +3,7 @@
 import os
 
 from .decide import Members
-from .form import ACK, NOBODY, PING, SERIALS, Message, Refused, Window, decode, encode
+from .form import ACK, NOBODY, PING, SERIALS, WORD, Message, Refused, Row, Window, decode, encode
 
 SECOND = 10_000
 CHALLENGES = SECOND  # between two challenges of one unknown life
@@ -31,6 +31,7 @@
         self.refused = self.replayed = self.clashes = 0
         self.members = Members(clock.now(), me, peers, seed)
         self.timer, self.closed = None, False
+        self.words = None  # called with the sender and the rows of what another subsystem says
 
     def start(self) -> None:
         self.carry(self.members.begin(self.clock.now()))
@@ -86,7 +87,16 @@
             self.challenged[sender] = message.life, nonce, now
             self.say(sender, PING, nonce, NOBODY, ())
 
+    def word(self, index: int, rows: tuple[Row, ...]) -> None:
+        """Say something of another subsystem to a peer: signed, of this life, each once at the most."""
+        if not self.closed:
+            self.say(index, WORD, 0, NOBODY, rows)
+
     def take(self, now: int, message: Message) -> None:
+        if message.kind == WORD:
+            if self.words is not None:
+                self.words(message.sender, message.rows)
+            return
         self.carry(self.members.heard(now, message.sender, message.kind, message.nonce, message.incarnation,
                                       message.load, message.target, message.rows))
 
--- a/curlewhall/policy.py
+++ b/curlewhall/policy.py
@@ -99,7 +99,7 @@
         self.takes, self.further = Changes(kept), Changes(kept)  # for the budget of further allocations
         self.wakes, self.labels, self.average, self.turn, self.stages = {}, 0, (NEVER, 0), 0, {}
         self.out = [("wake", self.chance(2 * SECOND), 0)] if rate_card["report.how"] == "on_probe" else []
-        self.changes, self.links, self.part = Changes(10 * SECOND), 1, (NEVER, 1)
+        self.changes, self.links, self.part, self.parts = Changes(10 * SECOND), 1, (NEVER, 1), {}
         self.chain = [(self.in_time, None), (self.rationed, self.again), (self.holding, self.health),
                       (self.streaming, None), (self.warming, None), (self.capping, None),
                       (self.fitting, None), (self.drawing, None), (self.shaping, None),
@@ -221,6 +221,10 @@
     def told(self, now, peer, body):
         return self.said()
 
+    def thinned(self, now, parts):
+        self.parts = parts
+        return self.said()
+
     def wake(self, now, label):
         if label == 0:
             self.look(now)
@@ -366,6 +370,7 @@
         # Catches sagging links, other users of a link, heavy titles and crowds alike.
         need = self.rate(ply, max(ply.floor, min(ply.top, self.best)))
         part = 1 if ply.product["importance"] > self.least else 0.9  # the last tenth is kept for dearer ones
+        part = min(part, self.parts.get(ply.product["name"], 1))  # more is, while a site is lost
         # Danger: fronts that hear of few nodes flood the rest; an unheard one counts as full as the average.
         ply.nodes = [n for n in ply.nodes if self.room(now, n, part)[0] >= need and
                      (now - n.heard_at <= 5 * SECOND or self.load(now, n) < part)]
@@ -567,7 +572,7 @@
         """The viewer's highest rung; the middle one where a report is missing, of the node or its uplink."""
         most = ply.top if known and node.rack.heard_at > NEVER else self.middle
         # Danger: an unreported uplink fills unseen. 10 s from a note on, the rung worth most for its rate.
-        most = self.best if now - node.rack.short_at < 10 * SECOND else most
+        most = self.best if self.parts or now - node.rack.short_at < 10 * SECOND else most
         return min(ply.top, max(ply.floor, most))
 
     def look(self, now):
--- a/curlewhall/standins/crowd.py
+++ b/curlewhall/standins/crowd.py
@@ -25,6 +25,8 @@
 from curlewhall.wire.http import request_bytes
 from curlewhall.wire.timers import Timers
 
+from .model import unit
+
 BUFFER = 4.0  # seconds that a viewer keeps ahead
 GRACE = 1.0  # how long after its limit a viewer still listens, only to tell that an answer came late
 
@@ -74,7 +76,10 @@
         return {"viewer": f"v{self.crowd['seed']}-{self.count}", "product": product, "customer": customer,
                 "title": title, "life": rng.uniform(low, high), "top": max(product["floor"], tops - small),
                 "patience": rng.uniform(0.05, 1.0) if rng.random() < self.crowd["hang_up"] else None,
-                "tries": 1 + rng.randrange(self.crowd["tries"]), "seed": rng.random()}
+                "tries": 1 + rng.randrange(self.crowd["tries"]), "seed": rng.random(),
+                # drawn from its own name, so that plans without it are as they were
+                "obeys": unit("obeys", self.crowd["seed"], self.count) < self.crowd.get("obey", 0.0),
+                "clock": 0.98 + 0.04 * unit("clock", self.crowd["seed"], self.count)}
 
     async def run(self) -> None:
         Pulse(self.timers, self.records, "viewer")
@@ -101,21 +106,28 @@
         rng, again, left = random.Random(who["seed"]), False, who["life"]
         for number in range(1 + who["tries"]):
             front = rng.choices(range(len(self.fronts)), self.crowd["lean"])[0]
-            plan, play = await self.ask(who, number, front, again)
+            plan, play, told = await self.ask(who, number, front, again)
             if plan is not None:
                 left -= await self.watch(who, number, play, plan, left)
             if left <= 0.5 or rng.random() > self.crowd["returns"]:
                 return
             again = True
-            await asyncio.sleep(rng.uniform(*self.crowd["pause"]))
+            pause = rng.uniform(*self.crowd["pause"])
+            if told is not None and who["obeys"]:
+                pause = told * who["clock"]
+            await asyncio.sleep(pause)
 
     async def ask(self, who: dict, number: int, front: int, again: bool):
-        """One try: the plan of the manifest, or None, and the play's id."""
+        """One try: the plan of the manifest, or None, the play's id, and for how long (s) it is to stay away,
+        None where that is not told.
+        """
         product = who["product"]
         target = (f"/play/{quote(who['title'])}?product={product['name']}&viewer={who['viewer']}"
                   f"&customer={who['customer']}&top={who['top']}&limit_ms={product['limit_ms']}&again={int(again)}")
         patience = None if who["patience"] is None or number else who["patience"] * product["limit_ms"] / 1000
-        return await self.request(who, f"{who['viewer']}/{number}", front, target, patience, number == 0)
+        plan, play = await self.request(who, f"{who['viewer']}/{number}", front, target, patience,
+                                        number == 0)
+        return plan, play, who.pop("told", None)
 
     async def follow(self, who: dict, number: int, moves: int, location: str):
         """Ask for a moved play's manifest anew, where the node or the old one (MPD Location) says."""
@@ -143,9 +155,13 @@
                     self.records.write("viewer", "bad_manifest", ask=ask, why=str(err))
             else:
                 with contextlib.suppress(msgspec.DecodeError, AttributeError):
-                    play = msgspec.json.decode(reply.message.body).get("play", "")
+                    document = msgspec.json.decode(reply.message.body)
+                    play = document.get("play", "")
+                    if "retry_after_ms" in document:
+                        who["told"] = float(document["retry_after_ms"]) / 1000
             self.records.write("viewer", "answer", ask=ask, front=name, status=status, play=play,
-                               product=product["name"], took=int(reply.took * 10_000))
+                               product=product["name"], took=int(reply.took * 10_000),
+                               away=who.get("told") if status != 200 else None)
             return self.unless_over(plan, play)
         what = "hung_up" if patience and reply.ending == "late" else "no_answer"
         self.records.write("viewer", what, ask=ask, front=name, how=reply.ending,
--- a/curlewhall/standins/fleet.py
+++ b/curlewhall/standins/fleet.py
@@ -102,6 +102,9 @@
         if target.startswith("link:"):
             self.link(target, kind, value)
             return
+        if target.startswith("site:"):
+            self.site(target, kind, value)
+            return
         if target.startswith("rack:"):
             rack = self.racks[int(target[5:])]
             rack.sag = value or 1.0
@@ -118,9 +121,34 @@
             self.list.change(self.row(node, "draining" if value else "serving"))
 
 
+    def site(self, target: str, kind: str, value: float) -> None:
+        """A fault of all nodes of a zone in one moment; `half` in the kind's place of the first half
+        alone.
+        """
+        nodes = [node.name for node in self.nodes.values() if node.spec["zone"] == target[5:]]
+        if not nodes:
+            raise ValueError(f"{target}: no node lies there")
+        self.records.write(target, "fault", kind=kind, value=value)
+        half = kind.startswith("half-")
+        for node in nodes[:max(1, len(nodes) // 2)] if half else nodes:
+            self.fault(node, kind.removeprefix("half-"), value)
+
     def link(self, target: str, kind: str, value: float) -> None:
-        """A fault of one direction: between fronts of datagrams, else of TCP; "*" may mean both."""
+        """A fault of one direction: between fronts of datagrams, else of TCP; "*" may mean both.
+
+        `site:ZONE` in the place of a node stands for all nodes there, in one moment.
+        """
         one, arrow, other = target[5:].partition(">")
+        zones = [end[5:] for end in (one, other) if end.startswith("site:")]
+        if zones:
+            nodes = [node.name for node in self.nodes.values() if node.spec["zone"] == zones[0]]
+            for node in nodes:
+                ends = (node if end.startswith("site:") else end for end in (one, other))
+                self.link("link:" + ">".join(ends), kind, value)
+            if not nodes:
+                raise ValueError(f"{target}: no node lies there")
+            self.records.write(target, "fault", kind=kind, value=value)
+            return
         fronts = {front["name"] for front in self.plan["fronts"]} | {"*"}
         if not arrow:
             raise ValueError(f"{target}: expected link:ONE>OTHER")
--- a/curlewhall/wire/client.py
+++ b/curlewhall/wire/client.py
@@ -125,9 +125,9 @@
     async def run(self, ask: Ask) -> None:
         line = None
         try:
-            line = await self.take()
+            line, why = await self.take()
             if line is None:
-                ask.settle(Reply("unreached", None, time.monotonic() - ask.asked_at, "no connection"))
+                ask.settle(Reply("unreached", None, time.monotonic() - ask.asked_at, why))
                 return
             if ask.may is not None and not ask.may():
                 ask.settle(Reply("not_sent", None, time.monotonic() - ask.asked_at, "no longer wanted"))
@@ -166,13 +166,15 @@
         message.keep = message.keep and not parser.messages and parser.current is None
         return message
 
-    async def take(self) -> Line | None:
-        """An idle connection that still lives, or a new one; None where none is to be had in time."""
+    async def take(self) -> tuple[Line | None, str]:
+        """An idle connection that still lives, or a new one; None where none is to be had in time, with
+        `refused` where the machine itself said so.
+        """
         now = time.monotonic()
         while self.idle:
             since, line = self.idle.pop()
             if now - since < self.idle_limit and not line.stale():
-                return line
+                return line, ""
             line.sock.close()
         family = socket.AF_INET6 if ":" in self.address else socket.AF_INET
         sock = socket.socket(family, socket.SOCK_STREAM)
@@ -181,14 +183,14 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             async with asyncio.timeout(self.connect_limit):
                 await self.loop.sock_connect(sock, (self.address, self.port))
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError) as err:
             sock.close()
-            return None
+            return None, "refused" if isinstance(err, ConnectionRefusedError) else "no connection"
         except asyncio.CancelledError:
             self.loop.call_soon(sock.close)
             raise
         self.opened += 1
-        return Line(sock, self.limits)
+        return Line(sock, self.limits), ""
 
     def give(self, line: Line) -> None:
         line.used += 1
--- a/tests/start/test_start_drills.py
+++ b/tests/start/test_start_drills.py
@@ -7,6 +7,8 @@
 
 import pytest
 
+pytestmark = pytest.mark.days
+
 CALLS = {
     "herd": ["start-herd", "--draw", "1", "--seconds", "12", "--fronts", "4"],
     "links": ["links", "--draw", "16", "--seconds", "12", "--fronts", "4"],  # once misread
--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -10,6 +10,8 @@
 
 import pytest
 
+pytestmark = pytest.mark.days
+
 BREAKERS = {"1": "Stalls", "2": "Twice", "3": "Deaf", "4": "Rush", "5": "Under", "6": "Spender"}
 DAY = ["--seconds", "9", "--trouble", "release", "--trouble", "crash", "--trouble", "freeze_setups"]
 
