Relay: after SIGTERM connections close one by one, each idle and read to its end

Suspect: leave() closed all connections in one moment, 50 ms after nothing was owed. Ruled out so far as an idle machine goes; but a front that was busy as its time was over closed on what lay unread (relay/serve.py, leave and close): 80 ms of it is more than the 50 ms after which nothing goes out again.

Change: past LINGER no new connection is taken; each connection closes once nothing is owed, said or half said on it, those without sessions first.

--- a/curlewhall/relay/serve.py
+++ b/curlewhall/relay/serve.py
@@ -19,6 +19,7 @@
 from .nodes import Nodes
 from .viewers import Viewers
 
+WINDING = 0.002  # seconds between two rounds over the connections that are left
 LINGER = 0.75  # seconds after SIGTERM in which set-ups still come: 0.4 on new connections, 0.2 on open ones
 
 
@@ -60,8 +61,17 @@
             self.timers.after(LINGER, self.leave)
 
     def leave(self) -> None:
-        if any(not held.answered for held in self.driver.plays.values()):
-            self.timers.after(0.02, self.leave)
+        """Set-ups come no more but on what stays open: close that one by one, each when nothing is owed on
+        it.
+
+        Danger: clients go on sending on what is open. Closed all at once, what they wrote just before would
+        be lost with it; one that is idle, and read to its end, has nothing to lose but what crosses its
+        close.
+        """
+        if self.viewers.wind_down():
+            self.timers.after(WINDING, self.leave)
+        elif any(not held.answered for held in self.driver.plays.values()):
+            self.timers.after(0.02, self.leave)  # owed to one whose connection is gone: no answer is due
         else:
             self.timers.after(0.05, self.over.set)  # the last answers are on their way
 
--- a/curlewhall/relay/viewers.py
+++ b/curlewhall/relay/viewers.py
@@ -200,6 +200,20 @@
 
     # ---- set-ups
 
+    def wind_down(self) -> int:
+        """Take no new connections, and close those on which nothing is owed, said or half said: the ones
+        without a session first. How many are left.
+        """
+        self.shut()
+        for viewer in sorted(self.lines.values(), key=lambda viewer: bool(viewer.stands)):
+            if viewer.open or viewer.line.queue:
+                continue
+            if viewer.line.unread() and not viewer.closing:
+                viewer.line.readable()  # its answers first; the next round closes it
+            elif not viewer.reader.data or viewer.closing:
+                self.drop(viewer)
+        return len(self.lines)
+
     def set_up(self, viewer: Viewer, message: messages.Message) -> None:
         name = message.session
         known = self.sessions.get(name)
@@ -376,11 +390,16 @@
             else:
                 return
 
-    def close(self) -> None:
+    def shut(self) -> None:
+        """Take no new connections, but for those that the kernel has taken already."""
         if self.listener is not None:
+            self.accept()
             self.loop.remove_reader(self.listener.fileno())
             self.listener.close()
             self.listener = None
+
+    def close(self) -> None:
+        self.shut()
         for line in list(self.lines):
             line.close()
         self.lines.clear()
--- a/curlewhall/wire/line.py
+++ b/curlewhall/wire/line.py
@@ -64,6 +64,13 @@
         else:
             self.end("closed")
 
+    def unread(self) -> bool:
+        """Whether the other side has said something that was not read yet."""
+        try:
+            return bool(self.sock.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
     def dead(self) -> bool:
         """Whether the other side has closed or reset, asked of the kernel now."""
         try:
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 
 import pytest
 from loopback import looped
@@ -498,3 +499,23 @@
         assert len(relay.nodes.roads) <= 4 * nodes.EACH and len(relay.timers) < 60
         roads = relay.nodes.roads.values()
         assert all(not r.asks and not r.probes and len(r.given) <= nodes.UNSAID for r in roads)
+
+
+@looped
+async def test_what_came_while_a_leaving_front_was_busy_is_read_before_the_close(tmp_path):
+    """A front that is kept busy for 80 ms as its time is over: what its viewers wrote then is answered."""
+    async with town(tmp_path) as place:
+        relay = place.relay
+        first, second = [await place.platform.viewer(place.port) for _ in range(2)]
+        for viewer in (first, second):
+            await viewer.hear(viewer.ask())
+        relay.viewers.ready = False  # as SIGTERM has it
+        names = [first.ask(), second.ask()]
+        await asyncio.sleep(0)  # written, and not read by the front yet
+        time.sleep(0.08)
+        relay.leave()
+        for viewer, name in zip((first, second), names, strict=True):
+            assert (await viewer.hear(name)).kind == messages.ANSWER
+            assert await viewer.gone()
+        await relay.over.wait()
+        assert not place.platform.broken()
--- /dev/null
+++ b/tests/relay/test_standing.py
@@ -0,0 +1,202 @@
+"""The terms of the standing test, caused on the stand-ins of the platform by processes of the program."""
+
+import asyncio
+import json
+import math
+import signal
+import time
+
+import pytest
+from loopback import looped
+from relay.test_relay_process import config, run
+
+from curlewhall.relay import messages
+from curlewhall.standins.platform import Platform
+
+LIMIT = 3.0  # seconds: the longest time limit of the settings here
+
+
+class Deployment:
+    """Some relays as processes, each with nodes, a channel and viewers of the platform around it."""
+
+    def __init__(self, tmp_path):
+        self.platform, self.tmp_path, self.fronts = Platform(), tmp_path, []
+
+    async def open(self, nodes=2, fronts=1, since=0, **settings):
+        for i in range(nodes):
+            await self.platform.add(f"n{i}")
+        await self.platform.channel.start()
+        members = [self.platform.member(name, since=since) for name in self.platform.nodes]
+        known = {"cursor": 1, "cmds": [{"cursor": 1, "nodes": {"complete": True, "members": members}}]}
+        for i in range(fronts):
+            text = json.dumps(config(name=f"n{i}", seed=f"{i + 1:x}", known=known,
+                                     channel=f"127.0.0.1:{self.platform.channel.port}", **settings))
+            self.fronts.append(await asyncio.to_thread(run, self.tmp_path, text, f"{i}.json",
+                                                       RELAY_NAME=f"n{i}"))
+        await self.until(lambda: len(self.platform.channel.lines) >= fronts)
+        return self
+
+    async def until(self, true):
+        async with asyncio.timeout(20):
+            while not true():
+                await asyncio.sleep(0.005)
+
+    async def viewer(self, i=0):
+        return await self.platform.viewer(self.fronts[i][1])
+
+    def close(self):
+        for process, _ in self.fronts:
+            process.kill()
+        for process, _ in self.fronts:
+            process.communicate()
+        self.platform.close()
+
+
+@pytest.fixture
+def deployment(tmp_path):
+    return Deployment(tmp_path)
+
+
+def test_planned_restart_with_clients_that_never_stop_sending(deployment):
+    restart_under_senders(deployment)
+
+
+@looped
+async def restart_under_senders(deployment):
+    """Whoever may send goes on on each connection that stays open. What came is answered; what the front
+    can't answer crosses the close of its connection, and goes out again.
+    """
+    place = await deployment.open()
+    try:
+        senders = [Sender(await place.viewer(), period) for period in (0.002, 0.003, 0.007, 0.02, 0.05) * 6]
+        tasks = [asyncio.create_task(sender.run()) for sender in senders]
+        await place.until(lambda: all(sender.answered() > 3 for sender in senders))
+        process = place.fronts[0][0]
+        process.send_signal(signal.SIGTERM)
+        told = time.monotonic()
+        code = await asyncio.to_thread(process.wait, LIMIT + 0.7)
+        took = time.monotonic() - told
+        await asyncio.gather(*tasks)
+        assert code == 0 and took > 0.75  # set-ups come for 0.6 s
+        late = [sender for sender in senders if sender.closed - told < 0.6]
+        assert not late, "a connection was closed while set-ups still came"
+        # What has no answer was written last, as the close was on its way; nothing before it was passed over.
+        assert all(sender.whole() for sender in senders)
+        assert sum(sender.after(told) for sender in senders) > len(senders)
+    finally:
+        deployment.close()
+
+
+class Sender:
+    """A client that asks again and again on its one connection, until it sees the close."""
+
+    def __init__(self, viewer, period):
+        self.viewer, self.period, self.sent, self.closed = viewer, period, {}, 0.0
+
+    async def run(self):
+        while not self.viewer.closed:
+            self.sent[self.viewer.ask(patience="900")] = time.monotonic()
+            await asyncio.sleep(self.period)
+        self.closed = time.monotonic()
+
+    def answered(self):
+        return sum(1 for name in self.sent if self.ended(name))
+
+    def ended(self, name):
+        return self.viewer.of(name, (messages.ANSWER, messages.RELEASE))
+
+    def whole(self):
+        """Whether all that was sent up to some moment is answered, and nothing after it."""
+        ends = [bool(self.ended(name)) for name in self.sent]
+        return ends == sorted(ends, reverse=True)
+
+    def after(self, told):
+        return sum(sent > told for sent in self.sent.values())
+
+
+@looped
+async def test_a_change_counts_as_told_once_the_channel_holds_it(tmp_path):
+    """SIGHUP moves the channel; a drain is held by the new one before the front has come there. From 4 s
+    after SIGHUP nothing may go to the node; the front is there, and heeds it, in a fraction of that.
+    """
+    place = await Deployment(tmp_path).open()
+    other = type(place.platform.channel)()
+    try:
+        await other.start()
+        other.tell(2, [place.platform.member("n0", "draining")])
+        file = tmp_path / "0.json"
+        file.write_text(json.dumps(json.loads(file.read_text()) | {"channel": f"127.0.0.1:{other.port}"}))
+        place.fronts[0][0].send_signal(signal.SIGHUP)
+        await place.until(lambda: other.lines)
+        assert other.calls == [1]  # the numbers go on
+        viewer, at = await place.viewer(), len(place.platform.seen)
+        await viewer.hear(viewer.ask())
+
+        def sent():
+            return [row[0] for row in place.platform.seen[at:] if row[1] == "set-up" and row[0] != "viewer"]
+
+        async with asyncio.timeout(20):
+            while len(sent()) < 3:  # a young front paces what it meets
+                name = viewer.ask()
+                if (await viewer.hear(name)).kind == messages.ANSWER:
+                    viewer.release(name)
+                await asyncio.sleep(0.02)
+        assert set(sent()) == {"n1"}
+    finally:
+        other.close()
+        place.close()
+
+
+@looped
+async def test_a_cold_node_gets_no_more_from_all_fronts_than_it_bears(tmp_path):
+    """Eight fronts, one node that has just started, a crowd at each: in no window of the settings more than
+    N + 3 root N + 3, N being what the settings allow a node that has just started.
+    """
+    fronts = 8
+    settings = config()["settings"] | {"n-instances": fronts}
+    place = await Deployment(tmp_path).open(nodes=1, fronts=fronts, since=int(time.time() * 1000),
+                                            settings=settings)
+    times = []
+    seen = place.platform.saw
+    place.platform.saw = lambda side, what, session, value="": (
+        times.append(time.monotonic()) if what == "set-up" and side == "n0" else None,
+        seen(side, what, session, value))
+    try:
+        viewers = [await place.viewer(i) for i in range(fronts)]
+        names = []
+        for _ in range(30):
+            names += [(viewer, viewer.ask(patience="900")) for viewer in viewers]
+            await asyncio.sleep(0.02)
+        for viewer, name in names:
+            await viewer.hear(name)
+        rules, streams = settings["invariants"], settings["specifics"]["kind-streams"][0]
+        window = rules["fall-ms"] / 1000
+        allowed = rules["overload-factor"] * rules["start-capacity"] * streams * window / (
+            rules["warm-within-ms"] / 1000)
+        most = max(sum(t <= other < t + window for other in times) for t in times)
+        assert times and most <= allowed + 3 * math.sqrt(allowed) + 3
+    finally:
+        place.close()
+
+
+@looped
+async def test_no_class_is_starved(tmp_path):
+    """More is asked than the streams hold: no class gets less than half of what it asks while there are any,
+    and the cheapest is the first that gets none. (A set-up here names no tenant.)
+    """
+    settings = config()["settings"]
+    settings["invariants"] |= {"warm-within-ms": 1.0}  # no node counts as cold
+    place = await Deployment(tmp_path).open(nodes=4, settings=settings)
+    try:
+        viewer, got = await place.viewer(), {}
+        for _ in range(30):
+            for product in ("cheap", "dear", "paid"):
+                end = await viewer.hear(viewer.ask(product=product))
+                got.setdefault(product, []).append(end.kind == messages.ANSWER)
+        held = sum(map(sum, got.values()))
+        shares = {product: sum(ends[:8]) / 8 for product, ends in got.items()}
+        assert held <= 32 and all(share >= 0.5 for share in shares.values()), shares
+        assert shares["paid"] == shares["dear"] == 1 and not got["cheap"][-1]
+        assert not place.platform.broken()
+    finally:
+        place.close()
