--- a/curlewhall/cli/daemon.py
+++ b/curlewhall/cli/daemon.py
@@ -11,6 +11,7 @@
 from rich.table import Table
 
 from curlewhall.daemon.control import NotThere, ask, folder_of
+from curlewhall.errors import told
 
 from . import logs
 from .files import settings_of
@@ -18,11 +19,11 @@
 FILE = click.argument("file", type=click.Path(dir_okay=False))
 
 
-def told(file: str, what: str) -> dict:
+def tell(file: str, what: str) -> dict:
     try:
         return ask(folder_of(settings_of(file)), what)
     except NotThere as err:
-        click.echo(str(err), err=True)
+        click.echo(err.told, err=True)
         sys.exit(3)
 
 
@@ -49,7 +50,7 @@
     found = settings_of(file)
     if detach:
         sys.exit(detached(file, folder_of(found), log_file, wait))
-    from curlewhall.daemon.run import Daemon, Taken
+    from curlewhall.daemon.run import Daemon, FolderTaken
     from curlewhall.settings import front_pb2
 
     log = logs.make(front_pb2.LogForm.Name(found.logs.form).lower(), found.logs.level or "info")
@@ -59,8 +60,8 @@
 
     try:
         uvloop.run(run())
-    except (OSError, Taken) as err:
-        click.echo(f"can't start: {err}", err=True)
+    except (OSError, FolderTaken) as err:
+        click.echo(f"can't start: {told(err)}", err=True)
         sys.exit(1)
 
 
@@ -93,7 +94,7 @@
 @FILE
 def status(file: str) -> None:
     """Show the daemon of FILE and its workers. Exit code 3: none runs."""
-    state = told(file, "status")
+    state = tell(file, "status")
     table = Table("worker", "process", "state", "held", "connections", "asked", "crashes", "leaving",
                   title=f"{state['front']} at {state['address']}, process {state['pid']}")
     for row in state["workers"]:
@@ -112,14 +113,14 @@
 @FILE
 def stop(file: str) -> None:
     """Answer what was taken and leave. Said twice, the second shortens: what is under way is failed now."""
-    end_with(told(file, "stop"))
+    end_with(tell(file, "stop"))
 
 
 @click.command()
 @FILE
 def restart(file: str) -> None:
     """Replace every worker by a successor that takes over sockets, connections and plays."""
-    end_with(told(file, "restart"))
+    end_with(tell(file, "restart"))
 
 
 @click.command()
@@ -127,4 +128,4 @@
 def reload(file: str) -> None:
     """Take over a changed FILE. A wrong one is refused with every complaint, and nothing changes."""
     settings_of(file)
-    end_with(told(file, "reload"))
+    end_with(tell(file, "reload"))
--- a/curlewhall/cli/files.py
+++ b/curlewhall/cli/files.py
@@ -12,7 +12,7 @@
     try:
         return load(path)
     except WrongFile as err:
-        click.echo(str(err), err=True)
+        click.echo(err.told, err=True)
     except OSError as err:
         click.echo(f"{path}: {err.strerror}", err=True)
     sys.exit(2)
--- a/curlewhall/cli/inventory.py
+++ b/curlewhall/cli/inventory.py
@@ -8,7 +8,7 @@
 
 import click
 
-from curlewhall.inventory import Wrong, csvform, yamlform
+from curlewhall.inventory import InventoryRefused, csvform, yamlform
 from curlewhall.inventory.decide import compare, implausible
 from curlewhall.inventory.run import YAML, Files, Read, load
 
@@ -27,8 +27,8 @@
     """A sound inventory; a wrong one ends the command with every complaint and code 1, no file with 2."""
     try:
         return load(Files(file, titles), places)
-    except Wrong as err:
-        click.echo(str(err), err=True)
+    except InventoryRefused as err:
+        click.echo(err.told, err=True)
         sys.exit(1)
     except OSError as err:
         click.echo(f"{err.filename}: {err.strerror}", err=True)
--- a/curlewhall/cli/main.py
+++ b/curlewhall/cli/main.py
@@ -9,6 +9,8 @@
 from rich.console import Console
 from rich.table import Table
 
+from curlewhall.errors import told
+
 from . import daemon, inventory, logs
 from .files import settings_of
 
@@ -27,7 +29,9 @@
               help="Another class with the interface of interface.Front, for comparison.")
 @click.option("--mover", default=None, metavar="MODULE:CLASS",
               help="Another class with the interface of moves.Mover, for comparison.")
-def serve(file: str, policy: str | None, mover: str | None) -> None:
+@click.option("--sites", default=None, metavar="MODULE:CLASS",
+              help="Another class with the interface of sites.decide.Sites, for comparison.")
+def serve(file: str, policy: str | None, mover: str | None, sites: str | None) -> None:
     """Run a front in the foreground with the operator's FILE, until SIGTERM or SIGINT."""
     from curlewhall.front import serve as running
     from curlewhall.settings import front_pb2
@@ -36,8 +40,7 @@
     form = front_pb2.LogForm.Name(found.logs.form).lower()
     log = logs.make(form, found.logs.level or "info")
     try:
-        running.run(found, log, running.policy(policy) if policy else None,
-                    running.policy(mover) if mover else None)
+        running.run(found, log, *(running.policy(name) if name else None for name in (policy, mover, sites)))
     except (OSError, ValueError) as err:
         click.echo(f"can't start: {err}", err=True)
         sys.exit(1)
@@ -77,13 +80,15 @@
               help="3, or what the drill itself takes to show anything.")
 @click.option("--policy", default=None, metavar="MODULE:CLASS")
 @click.option("--mover", default=None, metavar="MODULE:CLASS", help="Another mover, for comparison.")
+@click.option("--sites", default=None, metavar="MODULE:CLASS",
+              help="Another watch over sites, for comparison.")
 @click.option("--trouble", multiple=True, metavar="NAME", help="Only these kinds of trouble, by name.")
 @click.option("--json", "out", type=click.Path(dir_okay=False), default=None, help="Write the result here.")
 @click.option("--workers", type=click.IntRange(1, 8), default=1, show_default=True,
               help="Under each front's daemon, in drills that have daemons.")
 @click.option("--keep", type=click.Path(file_okay=False), default=None,
               help="Leave plan, logs and records in this folder.")
-def drill(name, draw, seconds, nodes, fronts, policy, mover, trouble, out, keep, workers) -> None:
+def drill(name, draw, seconds, nodes, fronts, policy, mover, sites, trouble, out, keep, workers) -> None:
     """Play the bad day NAME on loopback and judge it from the sockets' records.
 
     Exit code 0: all rules kept and the drill's claims hold; 1: something broke; 2: the call was wrong.
@@ -96,17 +101,18 @@
     if name not in DRILLS:
         raise click.UsageError(f"no drill is called {name!r}; there are: {', '.join(DRILLS)}")
     try:
-        for given in filter(None, (policy, mover)):
+        for given in filter(None, (policy, mover, sites)):
             named(given)
         seed = 1 if draw is None else draw
         fronts = fronts or FRONTS.get(name, 3)
-        day = Day(seconds, nodes, fronts, seed, draw is not None, policy, mover, trouble, keep, workers)
+        day = Day(seconds, nodes, fronts, seed, draw is not None, policy, mover, trouble, keep, workers,
+                  sites)
         began = time.monotonic()
         result = run(name, DRILLS[name], day, lambda text: console.print(text, style="dim", highlight=False))
     except ValueError as err:
         raise click.UsageError(str(err)) from None
     except Failed as err:
-        click.echo(str(err), err=True)
+        click.echo(told(err), err=True)
         sys.exit(1)
     console.print(f"played and judged in {time.monotonic() - began:.0f} s", style="dim")
     text = json.dumps(result.report, indent=1)
@@ -133,7 +139,7 @@
     try:
         sys.exit(show(seconds, seed, Console()))
     except Failed as err:
-        click.echo(str(err), err=True)
+        click.echo(told(err), err=True)
         sys.exit(1)
 
 
--- a/curlewhall/console/run.py
+++ b/curlewhall/console/run.py
@@ -45,7 +45,33 @@
             nodes.add_metric([state], count)
         held = GaugeMetricFamily("curlewhall_held", "Plays held", value=seen["held"])
         lines = GaugeMetricFamily("curlewhall_connections", "Viewers' connections", value=seen["connections"])
-        return [asked, declines, nodes, held, lines]
+        return [asked, declines, nodes, held, lines, *self.sites()]
+
+    def sites(self):
+        """What is held of each site, and what its loss would leave of each product."""
+        seen = self.front.driver.sites.state()
+        states = GaugeMetricFamily("curlewhall_site", "Sites by state; 1 for the one that holds",
+                                   labels=["site", "state"])
+        hidden = GaugeMetricFamily("curlewhall_site_nodes_without_plays",
+                                   "Nodes of a site that get no plays", labels=["site"])
+        left = GaugeMetricFamily("curlewhall_site_if_lost_placed",
+                                 "The part of a product's plays there would be room for",
+                                 labels=["site", "product"])
+        titles = GaugeMetricFamily("curlewhall_site_if_lost_titles", "Titles by holders left", labels=[
+            "site", "holders"])
+        refused = GaugeMetricFamily("curlewhall_refused_for_sites",
+                                    "The part of all that is asked that is refused for lost sites",
+                                    value=seen.get("refused", 0.0))
+        for site, row in seen.get("sites", {}).items():
+            states.add_metric([site, row["state"]], 1)
+            hidden.add_metric([site], row["hidden"])
+            cost = row.get("if_lost", {})
+            for product, part in cost.get("placed", {}).items():
+                left.add_metric([site, product], part)
+            if cost:
+                titles.add_metric([site, "1"], cost["titles_with_one_holder"])
+                titles.add_metric([site, "0"], cost["titles_without"])
+        return [states, hidden, left, titles, refused]
 
 
 class Console:
--- a/curlewhall/daemon/control.py
+++ b/curlewhall/daemon/control.py
@@ -7,12 +7,16 @@
 
 import msgspec
 
+from curlewhall.errors import Mishap
+
 PID, CONTROL = "pid", "control"
 
 
-class NotThere(Exception):
+class NotThere(Mishap):
     """No daemon answers."""
 
+    remedy = "Start it with 'curlewhall start FILE', with the same FILE and as the same user."
+
 
 def folder_of(file) -> Path:
     """Where a daemon keeps its pid and its control socket: the file says, or a folder of the user's own."""
--- a/curlewhall/dash/manifest.py
+++ b/curlewhall/dash/manifest.py
@@ -10,6 +10,8 @@
 
 from lxml import etree
 
+from curlewhall.errors import Mishap
+
 NS = "urn:mpeg:dash:schema:mpd:2011"
 PROFILE = "urn:mpeg:dash:profile:isoff-live:2011"
 # No entity is expanded and nothing is fetched: a manifest comes from outside.
@@ -31,9 +33,11 @@
     location: str = ""  # where the MPD is asked for anew (5.3.1.2, Location); "": where it came from
 
 
-class BadManifest(Exception):
+class BadManifest(Mishap):
     """An MPD that a player could not play."""
 
+    remedy = "Look at what answers in the front's place: no front of this program writes it."
+
 
 def duration(seconds: float) -> str:
     """As xs:duration."""
--- a/curlewhall/dash/tokens.py
+++ b/curlewhall/dash/tokens.py
@@ -5,6 +5,8 @@
 
 import jwt
 
+from curlewhall.errors import Mishap
+
 ALGORITHM = "HS256"
 LEEWAY = 2  # seconds: about what clocks of kept machines differ
 
@@ -20,9 +22,11 @@
     product: str
 
 
-class BadToken(Exception):
+class BadToken(Mishap):
     """A token that is not taken; the text says why, without the token."""
 
+    remedy = "Give fronts and nodes the same key file, and look at the clocks of both machines."
+
 
 def read_key(path: str) -> bytes:
     """The shared key's bytes; `OSError`, or `ValueError` where they are fewer than 32."""
--- a/curlewhall/drills/badday.py
+++ b/curlewhall/drills/badday.py
@@ -18,9 +18,6 @@
         plan["setup_ms"] = [20, rng.uniform(60, 160)]
     else:
         names = list(day.troubles or SCRIPTED)
-    for name in names:
-        if name not in TROUBLES:
-            raise ValueError(f"no trouble is called {name!r}; there are: {', '.join(sorted(TROUBLES))}")
     steps = [step for name in names for step in TROUBLES[name](rng, plan, day.seconds)]
     claims = {"unanswered": (0, lambda counts, rows: counts["unanswered"]),
               "wrong_segments": (0, lambda counts, rows: counts["wrong_segments"])}
--- a/curlewhall/drills/breakers.py
+++ b/curlewhall/drills/breakers.py
@@ -1,8 +1,12 @@
-"""Classes that break one rule each on purpose, so that it can be seen that the judge catches it."""
+"""Classes that break one rule each on purpose, so that it can be seen that the judge catches it; and watches
+over sites that a drill's claims, or the judge, must catch.
+"""
 
 import time
 
 from curlewhall.policy import PASS, SECOND, Front
+from curlewhall.sites.decide import Sites
+from curlewhall.sites.state import LOST, RETURNING
 
 
 class Stalls(Front):
@@ -99,3 +103,37 @@
         said = list(super().asked(now, play, *facts, **named))
         pure = play in self.plays and self.plays[play].product["idempotency"] == "pure"
         return [*said, ("withdraw", play, 0)] if pure and said and said[-1][0] == "allocate" else said
+
+
+class Alarmist(Sites):
+    """Declares a site lost without evidence, for the whole fleet, and takes nothing of it back."""
+
+    def wake(self, now):
+        said = super().wake(now)
+        if len(self.sites) > 1 and all(site.state != LOST for site in self.sites.values()):
+            site = self.sites[min(self.sites)]
+            hidden = [node.name for node in site.nodes.values()]
+            for node in site.nodes.values():
+                node.hidden = True
+            site.hold, site.lost_at, site.fleet = 1 << 40, now, True
+            said += [*self.become(now, site, LOST, "a feeling"), ("hide", hidden)]
+        return said
+
+
+class Floodgate(Sites):
+    """Takes a site back in one moment, as if all of it had been warm all the time."""
+
+    def when_returning(self, now, site, nodes):
+        site.let_in = len(nodes)
+        return super().when_returning(now, site, nodes)
+
+    def when_lost(self, now, site, nodes):
+        site.hold = 0
+        out = super().when_lost(now, site, nodes)
+        if site.state == RETURNING:
+            site.let_in = len(nodes)
+            out += self.let(now, site, nodes)
+        return out
+
+    def cold_since(self, name):
+        return None
--- a/curlewhall/drills/play.py
+++ b/curlewhall/drills/play.py
@@ -15,6 +15,7 @@
 from curlewhall.settings import load
 
 from .fleet import Processes, make_plan
+from .troubles import TROUBLES
 
 
 class Script(NamedTuple):
@@ -41,6 +42,7 @@
     troubles: tuple[str, ...] = ()
     keep: str | None = None  # a folder to leave plans, logs and records in
     workers: int = 1  # under each front's daemon, in drills that have daemons
+    sites: str | None = None
 
 
 class Result(NamedTuple):
@@ -54,9 +56,10 @@
     folder = Path(tempfile.mkdtemp(prefix="curlewhall-drill-"))
     try:
         plan = make_plan(day.seed, day.nodes, day.fronts, day.seconds, folder)
+        known(day.troubles)
         script = make(random.Random(f"{name} {day.seed}"), plan, day)
         tell(f"{name}: {', '.join(script.told) or 'no trouble'}")
-        with Processes(plan, day.policy, day.mover) as processes:
+        with Processes(plan, day.policy, day.mover, day.sites) as processes:
             processes.start_crowd()
             processes.await_line(processes.crowd, "", "crowd")
             began = time.monotonic()
@@ -89,6 +92,13 @@
         shutil.rmtree(folder, ignore_errors=True)
 
 
+def known(names: tuple[str, ...]) -> None:
+    """`ValueError` for a kind of trouble that there is none of, whatever the drill makes of it."""
+    for name in names:
+        if name not in TROUBLES:
+            raise ValueError(f"no trouble is called {name!r}; there are: {', '.join(sorted(TROUBLES))}")
+
+
 def act(processes: Processes, what: str, facts: list) -> None:
     if what == "fault":
         processes.fault(*facts)
--- a/curlewhall/drills/sites.py
+++ b/curlewhall/drills/sites.py
@@ -18,6 +18,7 @@
 LOSS = 0.3  # when the site is lost, as a part of the day
 SECOND = 10_000
 AFTER = 10 * SECOND  # how long after the loss service is counted
+WELL = 3 * SECOND  # before the loss
 KNOWN = 6 * SECOND  # after which nothing is sent to a site that answers nothing: silence is seen last
 HOW = {200: "served", 503: "declined", 502: "failed"}
 LOAD = 1.8  # times the plan's load: half of the nodes can't bear it
@@ -106,6 +107,14 @@
         else None}
 
 
+def shunned(plan: dict, counts: dict, rows: list[Record]) -> int:
+    """Zones that got no set-up in the last seconds before the loss, while all was well."""
+    lost, _ = moments(rows)
+    zones = {f"node:{spec['node']}": spec["zone"] for spec in plan["nodes"]}
+    met = {zones[row["at"]] for row in rows if row["what"] == "setup" and lost - WELL < row["t"] < lost}
+    return len(plan["zones"]) - len(met)
+
+
 def figure(plan: dict, zone: str, name: str, counts: dict, rows: list[Record]) -> float:
     return figures(plan, zone, rows)[name]
 
@@ -189,6 +198,7 @@
     zone = rng.choice(plan["zones"])
     steps, told, bounds = make(rng, plan, day, zone)
     claims = {"unanswered": (0, lambda counts, rows: counts["unanswered"]),
+              "shunned": (0, partial(shunned, plan)),
               **{name: (bound, partial(figure, plan, zone, name)) for name, bound in bounds.items()}}
     return Script(steps, claims, [f"site-{make.__name__}", zone, *told], partial(figures, plan, zone))
 
--- /dev/null
+++ b/curlewhall/errors.py
@@ -0,0 +1,25 @@
+"""The one base of the program's own errors: what was seen, and what an operator can do about it.
+
+Needs nothing, so that every floor can use it. Each kind has a name of its own and a `remedy`, one sentence;
+whoever raises says what it saw, whoever catches never parses text.
+"""
+
+
+class Mishap(Exception):
+    """`what`: what was seen. `remedy`: what an operator can do, the same for all of a kind."""
+
+    remedy = "Report this with the log around it: it is an error of the program."
+
+    @property
+    def what(self) -> str:
+        return str(self)
+
+    @property
+    def told(self) -> str:
+        """Both, for a command line or a log; one line where what was seen is one."""
+        return f"{self.what}{chr(10) if chr(10) in self.what else ' - '}{self.remedy}"
+
+
+def told(err: Exception) -> str:
+    """What there is to say of any error: with its remedy where it is one of ours."""
+    return err.told if isinstance(err, Mishap) else str(err)
--- a/curlewhall/front/listing.py
+++ b/curlewhall/front/listing.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from urllib.parse import quote
 
+from curlewhall.errors import told
 from curlewhall.inventory.form import Inventory
 from curlewhall.start import Asks, Belief, Churn, Stamp, age, ready
 from curlewhall.start.decide import UNREADY
@@ -76,8 +77,8 @@
         if self.kept and os.path.exists(self.kept) and not self.rows:
             try:
                 self.read(Path(self.kept))
-            except (OSError, forms.Malformed) as err:
-                self.driver.log.warning("the kept list can't be read", why=str(err))
+            except (OSError, forms.FormUnreadable) as err:
+                self.driver.log.warning("the kept list can't be read", why=told(err))
         wait = self.asks.begin(self.asks.life, self.version)
         if self.watcher is not None:
             self.watcher.start()
@@ -122,7 +123,7 @@
         self.driver.log.info("list from a peer", version=listing.version, age_s=round(seconds), whole=whole)
 
     def read(self, path: Path) -> None:
-        """Go by the kept list, as far as its age lets it be believed. `OSError`, `Malformed`."""
+        """Go by the kept list, as far as its age lets it be believed. `OSError`, `FormUnreadable`."""
         old = forms.decode(forms.Listing, path.read_bytes())
         kept = old.kept or forms.Kept(unix_ms=int(path.stat().st_mtime * 1000))  # an earlier program's
         self.stamp = Stamp(kept.unix_ms, kept.boot, kept.steady_s)
@@ -207,8 +208,8 @@
         try:
             for line in self.lines.feed(piece):
                 self.line(forms.decode(forms.Listing, line))
-        except forms.Malformed as err:
-            self.driver.log.warning("the list is malformed", why=str(err))
+        except forms.FormUnreadable as err:
+            self.driver.log.warning("the list is malformed", why=told(err))
             self.driver.timers.after(0, self.stream.withdraw)
 
     def line(self, listing: forms.Listing) -> None:
@@ -258,9 +259,13 @@
         self.driver.viewers.titles = self.titles
         self.driver.sites.listed(rows, how != "changes")
         rows, unsure = [self.shown(row) for row in rows], self.unsure
+        # Danger: of a node that the module may still hold for serving, that it drains or is gone must be told
+        left = [row if row.node not in unsure else forms.msgspec.structs.replace(row, state="gone")
+                for row in rows if row.node not in unsure or row.state != "serving"
+                and row.node not in self.belief.unsure]
         now, unix = self.driver.clock.now(), int(time.time() * 1000)
         self.driver.nodes.listed(rows, whole=how != "changes")  # first: the module may allocate at once
-        self.driver.listed(how, [self.for_module(row, now, unix) for row in rows if row.node not in unsure])
+        self.driver.listed(how, [self.for_module(row, now, unix) for row in left])
         self.driver.moves.listed(self.sure(self.rows.values()), now, unix)
         if self.tell is not None:
             self.tell(listing)
--- a/curlewhall/front/lists.py
+++ b/curlewhall/front/lists.py
@@ -12,6 +12,7 @@
 from urllib.parse import parse_qsl, quote
 
 from curlewhall.dash import tokens
+from curlewhall.errors import told
 from curlewhall.start import Borrows, Had, Lends, Stamp, age, better
 from curlewhall.start.decide import LENT_LATER
 from curlewhall.wire import forms
@@ -107,8 +108,8 @@
         try:
             listing = forms.decode(forms.Listing, reply.message.body)
             seconds = float(reply.message.headers.get("age", ""))
-        except (forms.Malformed, ValueError) as err:
-            self.follower.driver.log.warning("a peer's list is malformed", peer=peer, why=str(err))
+        except (forms.FormUnreadable, ValueError) as err:
+            self.follower.driver.log.warning("a peer's list is malformed", peer=peer, why=told(err))
             self.again(peer, False)
             return
         if self.follower.astray:
--- a/curlewhall/front/nodes.py
+++ b/curlewhall/front/nodes.py
@@ -8,6 +8,7 @@
 import time
 from collections.abc import Callable
 
+from curlewhall.errors import told
 from curlewhall.interface import NodeRow
 from curlewhall.start import Turns
 from curlewhall.wire import forms
@@ -111,6 +112,8 @@
 
     def set_up_done(self, held: Held, number: int, name: str, reply: Reply) -> None:
         how, report = reply.ending, {}
+        if how == "unreached":
+            self.driver.sites.heard(name, failure(reply))
         if how == "ok":
             try:
                 done = forms.decode(forms.SetUpDone, reply.message.body)
@@ -122,7 +125,7 @@
                     how, report = "full", done.report
                 else:
                     how = "error"
-            except forms.Malformed:
+            except forms.FormUnreadable:
                 how = "error"
         self.driver.set_up_ended(held, number, name, how, reply.took, report)
 
@@ -171,7 +174,7 @@
             return reply.ending, {}
         try:
             load = forms.decode(forms.Load, reply.message.body)
-        except forms.Malformed:
+        except forms.FormUnreadable:
             return "error", {}
         sound = reply.message.status == 200 and load.node == name
         return ("ok", load.report) if sound else ("error", {})
@@ -221,8 +224,8 @@
         try:
             for line in node.lines.feed(piece):
                 self.event(node.row.node, forms.decode(forms.Event, line))
-        except forms.Malformed as err:
-            self.driver.log.warning("a node's stream is malformed", node=node.row.node, why=str(err))
+        except forms.FormUnreadable as err:
+            self.driver.log.warning("a node's stream is malformed", node=node.row.node, why=told(err))
             self.loop.call_soon(node.stream.withdraw)
 
     def stream_ended(self, node: Node, reply: Reply) -> None:
--- a/curlewhall/front/parting.py
+++ b/curlewhall/front/parting.py
@@ -78,8 +78,8 @@
         try:
             offer = forms.decode(forms.Offer, exchange.request.body)
             session = tokens.check(bearer.removeprefix("Bearer "), self.viewers.key, AUDIENCE)
-        except forms.Malformed as err:
-            problems.answer(exchange, 400, str(err))
+        except forms.FormUnreadable as err:
+            problems.answer(exchange, 400, err.what, remedy=err.remedy)
             return
         except tokens.BadToken as err:
             problems.answer(exchange, 403, f"an offer of nobody: {err}")
--- a/curlewhall/front/serve.py
+++ b/curlewhall/front/serve.py
@@ -11,6 +11,7 @@
 import uvloop
 
 from curlewhall.dash.tokens import read_key
+from curlewhall.errors import told
 from curlewhall.inventory.run import Files, Watcher
 from curlewhall.members.run import Membership
 from curlewhall.moves import Mover
@@ -23,6 +24,7 @@
 from curlewhall.settings import rate_card
 from curlewhall.settings.front_pb2 import STRICT, FrontFile
 from curlewhall.settings.keys import read_keys
+from curlewhall.sites.decide import Sites
 from curlewhall.sites.run import Watch
 from curlewhall.start import Turns
 from curlewhall.wire.client import Pool
@@ -73,7 +75,7 @@
     """
 
     def __init__(self, file: FrontFile, log, make: Callable | None = None,
-                 mover: Callable | None = None, coming=None) -> None:
+                 mover: Callable | None = None, coming=None, sites: Callable | None = None) -> None:
         self.file, self.log, self.coming = file, log, coming
         self.loop = asyncio.get_running_loop()
         self.timers = Timers(self.loop)
@@ -109,7 +111,8 @@
         self.viewers.lender = Lender(self.follower, key)
         if service is not None and self.fellows:
             self.follower.borrower = Borrower(self.follower, self.fellows, key, seed)
-        self.driver.sites = Watch(self, file.identity.index, seed, lambda: self.viewers.titles)
+        self.driver.sites = Watch(self, file.identity.index, seed, lambda: self.viewers.titles,
+                                  sites or Sites)
         self.open_store()
         drain_within = 10 * (file.moves.drain_within_ms or 30_000)
         if file.inventory.file:
@@ -250,8 +253,9 @@
         self.driver.keeper.close()
 
 
-async def until_told(file: FrontFile, log, make: Callable | None, mover: Callable | None) -> None:
-    front = FrontProcess(file, log, make, mover)
+async def until_told(file: FrontFile, log, make: Callable | None, mover: Callable | None,
+                     sites: Callable | None) -> None:
+    front = FrontProcess(file, log, make, mover, sites=sites)
     told = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         front.loop.add_signal_handler(number, told.set)
@@ -262,11 +266,12 @@
     await front.stop()
 
 
-def run(file: FrontFile, log, make: Callable | None = None, mover: Callable | None = None) -> None:
+def run(file: FrontFile, log, make: Callable | None = None, mover: Callable | None = None,
+        sites: Callable | None = None) -> None:
     """Serve until SIGTERM or SIGINT. `OSError` where a socket or the state's folder can't be had."""
     try:
-        uvloop.run(until_told(file, log, make, mover))
+        uvloop.run(until_told(file, log, make, mover, sites))
     except (Busy, Newer) as err:
-        raise OSError(str(err)) from None
+        raise OSError(told(err)) from None
     except KeyboardInterrupt:
         pass
--- a/curlewhall/front/viewers.py
+++ b/curlewhall/front/viewers.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from curlewhall.dash import manifest, tokens
+from curlewhall.errors import Mishap
 from curlewhall.wire.forms import Facts, Title
 from curlewhall.wire.server import Exchange
 
@@ -18,9 +19,11 @@
 MOVED = 10_000  # plays moved lately whose viewers have yet to come again
 
 
-class Wrong(Exception):
+class RequestRefused(Mishap):
     """A request that can't be taken; the text is for its sender."""
 
+    remedy = "Correct the request: the detail names the parameter and what is expected."
+
 
 class Viewers:
     """Answers requests. `titles` is kept up by the list's follower."""
@@ -50,8 +53,8 @@
         elif url.path.startswith("/play/"):
             try:
                 self.take(exchange, unquote(url.path[6:]), url.query)
-            except Wrong as err:
-                problems.answer(exchange, 400, str(err))
+            except RequestRefused as err:
+                problems.answer(exchange, 400, err.what, remedy=err.remedy)
         elif url.path == "/v1/health":
             ready = self.open and (self.follower is None or self.follower.ready)
             fields = {"content-type": "application/json", "cache-control": "no-store"}
@@ -112,11 +115,11 @@
             return
         product = given.get("product", "")
         if product not in self.products:
-            raise Wrong(f"product: found {product!r}, expected one of {', '.join(self.products)}")
+            raise RequestRefused(f"product: found {product!r}, expected one of {', '.join(self.products)}")
         index, terms = self.products[product]
         viewer = given.get("viewer", "")
         if not 1 <= len(viewer) <= 128:
-            raise Wrong("viewer: expected 1 to 128 characters")
+            raise RequestRefused("viewer: expected 1 to 128 characters")
         card = self.driver.card
         top = number(given, "top", len(card["specifics.rung_kb"]) - 1, 0, 1000)
         limit = 10 * number(given, "limit_ms", terms["time_limit"] // 10, 1, terms["time_limit"] // 10)
@@ -138,7 +141,7 @@
         floor = card["specifics.floor_by_class"][index]
         # The play's top can't lie under its product's floor: such a viewer can't be served within the terms.
         if top < floor:
-            raise Wrong(f"top: found {top}, expected {floor} at least for {product}")
+            raise RequestRefused(f"top: found {top}, expected {floor} at least for {product}")
         facts = Facts(play=f"{self.front}-{self.boot:x}-{self.count:x}", number=0, product=product,
                       customer=given.get("customer", ""), viewer=viewer, title=name, top=top, rung=floor,
                       floor=floor)
@@ -260,5 +263,5 @@
     if text is None:
         return plain
     if not (text.isascii() and text.isdigit() and len(text) < 12) or int(text) < low:
-        raise Wrong(f"{name}: found {text[:20]!r}, expected a whole number, {low} at least")
+        raise RequestRefused(f"{name}: found {text[:20]!r}, expected a whole number, {low} at least")
     return min(int(text), high)
--- a/curlewhall/inventory/__init__.py
+++ b/curlewhall/inventory/__init__.py
@@ -5,6 +5,6 @@
 `docs/inventory/`.
 """
 
-from .form import Inventory, Wrong
+from .form import Inventory, InventoryRefused
 
-__all__ = ["Inventory", "Wrong"]
+__all__ = ["Inventory", "InventoryRefused"]
--- a/curlewhall/inventory/csvform.py
+++ b/curlewhall/inventory/csvform.py
@@ -13,16 +13,17 @@
     Complaint,
     Entry,
     Inventory,
-    Wrong,
+    InventoryRefused,
     nearest,
 )
 
 
 def entries(text: str, fields: dict, needed: tuple[str, ...], file: str = "") -> list[Entry]:
-    """The rows below the header; `Wrong` where the header or the form itself is wrong."""
+    """The rows below the header; `InventoryRefused` where the header or the form itself is wrong."""
     if text and not text.endswith(("\n", "\r")):
         last = text.count("\n") + 1
-        raise Wrong([Complaint(last, "the last line has no end; the file may be half written", file)])
+        raise InventoryRefused(
+            [Complaint(last, "the last line has no end; the file may be half written", file)])
     reader = csv.reader(io.StringIO(text, newline=""), strict=True)
     wrong: list[Complaint] = []
     found: list[Entry] = []
@@ -42,13 +43,13 @@
                 found.append(Entry(line, {name: cell.strip() for name, cell in zip(header, cells, strict=True)
                                           if name in fields}, file))
             if len(found) * len(header) > MOST:
-                raise Wrong([Complaint(line, f"more than {MOST} values", file)])
+                raise InventoryRefused([Complaint(line, f"more than {MOST} values", file)])
     except csv.Error as err:
         wrong.append(Complaint(begun, f"not comma-separated values: {err}", file))
     if header is None and not wrong:
         wrong.append(Complaint(1, "empty: not even a header", file))
     if wrong:
-        raise Wrong(wrong)
+        raise InventoryRefused(wrong)
     return found
 
 
@@ -65,7 +66,9 @@
 
 def read(hosts: str, titles: str | None = None, places: int = 0, names: tuple[str, str] = ("", "")
          ) -> Inventory:
-    """A sound inventory, or `Wrong` with all that is wrong with it. `names`: the files', for complaints."""
+    """A sound inventory, or `InventoryRefused` with all that is wrong with it. `names`: the files', for
+    complaints.
+    """
     checker = Checker()
     for text, fields, needed, name, take in ((hosts, HOST, HOST_NEEDED, names[0], checker.host),
                                              (titles, TITLE, TITLE_NEEDED, names[1], checker.title)):
@@ -74,7 +77,7 @@
         try:
             for entry in entries(text, fields, needed, name):
                 take(entry)
-        except Wrong as err:
+        except InventoryRefused as err:
             checker.complaints += err.complaints
     return checker.done(places)
 
--- a/curlewhall/inventory/form.py
+++ b/curlewhall/inventory/form.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable
 from typing import Any, NamedTuple
 
+from curlewhall.errors import Mishap
 from curlewhall.wire.forms import ROW_BOUNDS, TITLE_BOUNDS, Row, Title, is_address
 
 LARGEST = 32 << 20  # bytes of a file: a hundred times the 300 kB of 2,000 nodes and titles
@@ -32,9 +33,12 @@
         return f"{self.file + ', ' if self.file else ''}line {self.line}: {self.text}"
 
 
-class Wrong(Exception):
+class InventoryRefused(Mishap):
     """An inventory that is refused, with everything that is wrong with it."""
 
+    remedy = ("Correct the lines named above and write the file whole; until then the last good "
+              "one is gone by.")
+
     def __init__(self, complaints: Iterable[Complaint]) -> None:
         self.complaints = sorted(complaints, key=lambda c: (c.file, c.line))
         told = [str(complaint) for complaint in self.complaints[:TOLD]]
@@ -165,7 +169,7 @@
                         line, f"title {title.title!r} has no holder: no host lies at place "
                               f"{', '.join(map(str, sorted(cells)[:8]))}", file))
         if self.complaints:
-            raise Wrong(self.complaints)
+            raise InventoryRefused(self.complaints)
         return Inventory(self.rows, self.titles)
 
 
@@ -189,15 +193,19 @@
 
 
 def text_of(raw: bytes, file: str = "") -> str:
-    """The file's text; `Wrong` where it is too long or not UTF-8. A byte-order mark is passed over."""
+    """The file's text; `InventoryRefused` where it is too long or not UTF-8. A byte-order mark is passed
+    over.
+    """
     if len(raw) > LARGEST:
-        raise Wrong([Complaint(1, f"{len(raw)} bytes, expected {LARGEST} at most", file)])
+        raise InventoryRefused([Complaint(1, f"{len(raw)} bytes, expected {LARGEST} at most", file)])
     try:
         text = raw.decode("utf-8-sig")
     except UnicodeDecodeError as err:
         line = raw.count(b"\n", 0, err.start) + 1
-        raise Wrong([Complaint(line, f"byte 0x{raw[err.start]:02x} is not UTF-8; is a part of the file in "
+        raise InventoryRefused(
+            [Complaint(line, f"byte 0x{raw[err.start]:02x} is not UTF-8; is a part of the file in "
                                      "another encoding?", file)]) from None
     if "\0" in text:
-        raise Wrong([Complaint(text.count("\n", 0, text.index("\0")) + 1, "a NUL byte; is it UTF-16?", file)])
+        raise InventoryRefused(
+            [Complaint(text.count("\n", 0, text.index("\0")) + 1, "a NUL byte; is it UTF-16?", file)])
     return text
--- a/curlewhall/inventory/run.py
+++ b/curlewhall/inventory/run.py
@@ -6,11 +6,12 @@
 from pathlib import Path
 from typing import NamedTuple
 
+from curlewhall.errors import told
 from curlewhall.wire import forms
 
 from . import csvform, yamlform
 from .decide import applied, compare, implausible
-from .form import Complaint, Inventory, Wrong, text_of
+from .form import Complaint, Inventory, InventoryRefused, text_of
 
 EVERY = 0.5  # seconds between two looks at the files
 YAML = (".yaml", ".yml")
@@ -29,12 +30,13 @@
 
 
 def load(files: Files, places: int = 0) -> Read:
-    """Read and check; `Wrong` with all complaints, `OSError` where a file can't be read."""
+    """Read and check; `InventoryRefused` with all complaints, `OSError` where a file can't be read."""
     raw = [Path(name).read_bytes() for name in files if name]
     texts = [text_of(data, name) for data, name in zip(raw, filter(None, files), strict=True)]
     if Path(files.hosts).suffix.lower() in YAML:
         if files.titles:
-            raise Wrong([Complaint(1, "the titles of a YAML inventory stand in the same file", files.titles)])
+            raise InventoryRefused(
+                [Complaint(1, "the titles of a YAML inventory stand in the same file", files.titles)])
         found = yamlform.read(texts[0], places, files.hosts)
     else:
         found = csvform.read(texts[0], texts[1] if files.titles else None, places,
@@ -92,8 +94,8 @@
     def read(self, now: tuple) -> None:
         try:
             found = load(self.files, self.places)
-        except Wrong as err:
-            self.refuse(str(err), now)
+        except InventoryRefused as err:
+            self.refuse(told(err), now)
             return
         except OSError as err:
             self.refuse(f"{err.filename}: {err.strerror}", now)
@@ -146,8 +148,8 @@
             return "no change waits to be confirmed"
         try:
             found = load(self.files, self.places)
-        except (Wrong, OSError) as err:
-            return str(err)
+        except (InventoryRefused, OSError) as err:
+            return told(err)
         if digest != self.waiting or found.digest != digest:
             return f"the change that waits is {self.waiting}, the file is {found.digest} now"
         self.consider(found, confirmed=True)
--- a/curlewhall/inventory/yamlform.py
+++ b/curlewhall/inventory/yamlform.py
@@ -13,7 +13,7 @@
 
 import yaml
 
-from .form import HOST, MOST, Checker, Complaint, Entry, Inventory, Wrong
+from .form import HOST, MOST, Checker, Complaint, Entry, Inventory, InventoryRefused
 
 DEEP = 40  # mappings within each other; ours need six
 LOADER = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
@@ -36,7 +36,8 @@
         # Danger: a few lines of aliases to aliases stand for millions of values.
         self.left -= 1
         if self.left < 0:
-            raise Wrong([Complaint(self.line(node), f"more than {MOST} values, aliases followed", self.file)])
+            raise InventoryRefused(
+                [Complaint(self.line(node), f"more than {MOST} values, aliases followed", self.file)])
 
     def pairs(self, node, what: str, deep: int = 0) -> list[tuple[str, object, object]]:
         """The keys (as text), their nodes and the values' nodes of a mapping; merge keys are followed."""
@@ -47,7 +48,7 @@
             self.wrong(node, f"{what}: found {node.id}, expected a mapping")
             return []
         if deep > DEEP:
-            raise Wrong([Complaint(self.line(node), f"more than {DEEP} mappings within each other",
+            raise InventoryRefused([Complaint(self.line(node), f"more than {DEEP} mappings within each other",
                                    self.file)])
         found: dict[str, tuple[object, object]] = {}
         merged: dict[str, tuple[object, object]] = {}
@@ -107,9 +108,9 @@
 
 
 def read(text: str, places: int = 0, file: str = "") -> Inventory:
-    """A sound inventory, or `Wrong` with all that is wrong with it."""
+    """A sound inventory, or `InventoryRefused` with all that is wrong with it."""
     if text and not text.endswith("\n"):
-        raise Wrong([Complaint(text.count("\n") + 1,
+        raise InventoryRefused([Complaint(text.count("\n") + 1,
                                "the last line has no end; the file may be half written", file)])
     reader = Reader(file)
     try:
@@ -117,13 +118,15 @@
     except yaml.MarkedYAMLError as err:
         mark = err.problem_mark or err.context_mark
         why = " ".join(filter(None, (err.context, err.problem)))
-        raise Wrong([Complaint(mark.line + 1 if mark else 1, f"not YAML: {why}", file)]) from None
+        raise InventoryRefused([Complaint(mark.line + 1 if mark else 1, f"not YAML: {why}", file)]) from None
     except (yaml.YAMLError, ValueError) as err:
-        raise Wrong([Complaint(1, f"not YAML: {' '.join(str(err).split())[:200]}", file)]) from None
+        raise InventoryRefused(
+            [Complaint(1, f"not YAML: {' '.join(str(err).split())[:200]}", file)]) from None
     except RecursionError:
-        raise Wrong([Complaint(1, "values within each other without end", file)]) from None
+        raise InventoryRefused([Complaint(1, "values within each other without end", file)]) from None
     if len(documents) != 1 or documents[0] is None:
-        raise Wrong([Complaint(1, f"{sum(d is not None for d in documents)} documents, expected one", file)])
+        raise InventoryRefused(
+            [Complaint(1, f"{sum(d is not None for d in documents)} documents, expected one", file)])
     try:
         for name, _, node in reader.pairs(documents[0], "the document"):
             if name == "titles":
@@ -131,7 +134,7 @@
             else:
                 reader.group(name, node, {}, 0)
     except RecursionError:
-        raise Wrong([Complaint(1, "values within each other without end", file)]) from None
+        raise InventoryRefused([Complaint(1, "values within each other without end", file)]) from None
     return reader.checker.done(places)
 
 
--- a/curlewhall/members/form.py
+++ b/curlewhall/members/form.py
@@ -12,6 +12,8 @@
 import struct
 from typing import NamedTuple
 
+from curlewhall.errors import Mishap
+
 MAGIC, VERSION = 0xC7, 1
 HEAD = struct.Struct(">BBHIIIIHHB")
 ROW = struct.Struct(">HBI")
@@ -45,9 +47,12 @@
     rows: tuple[Row, ...]
 
 
-class Refused(Exception):
+class DatagramRefused(Mishap):
     """Not a message of ours."""
 
+    remedy = ("Give all fronts the same members.key_file; if they have it, look at who else sends "
+              "to the peer port.")
+
 
 SERIALS = 1 << 32  # of incarnations and sequence numbers
 
@@ -79,21 +84,21 @@
 
 
 def decode(data: bytes, keys: list[bytes]) -> Message:
-    """The message, signed with one of `keys`; else `Refused`."""
+    """The message, signed with one of `keys`; else `DatagramRefused`."""
     if not HEAD.size + HASH <= len(data) <= LARGEST or data[0] != MAGIC:
-        raise Refused("not of this form")
+        raise DatagramRefused("not of this form")
     body, found = data[:-HASH], data[-HASH:]
     if not any(hmac.compare_digest(sign(body, key), found) for key in keys):
-        raise Refused("no key of ours signed it")
+        raise DatagramRefused("no key of ours signed it")
     _, word, *facts, count = HEAD.unpack_from(body)
     kind = word & 15
     if word >> 4 != VERSION or not PING <= kind <= WORD:
-        raise Refused(f"version {word >> 4}, kind {kind}")
+        raise DatagramRefused(f"version {word >> 4}, kind {kind}")
     if len(body) != HEAD.size + count * ROW.size:
-        raise Refused("its length is another")
+        raise DatagramRefused("its length is another")
     rows = tuple(Row(*ROW.unpack_from(body, HEAD.size + i * ROW.size)) for i in range(count))
     if any(row.state > LEFT for row in rows):
-        raise Refused("an unknown state")
+        raise DatagramRefused("an unknown state")
     sender, life, sequence, nonce, incarnation, load, target = facts
     return Message(kind, sender, life, sequence, nonce, incarnation, load, target, rows)
 
--- a/curlewhall/records/__init__.py
+++ b/curlewhall/records/__init__.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from curlewhall.errors import Mishap
+
 Record = dict[str, Any]
 _encode = msgspec.json.Encoder().encode
 
@@ -63,22 +65,26 @@
         self.next()
 
 
-class Torn(Exception):
+class RecordTorn(Mishap):
     """A line that is no record."""
 
+    remedy = "Play the day again: a record file was cut or changed by another program."
+
 
 def read(path: str | Path) -> Iterator[Record]:
-    """Records of a file in the order written. An unfinished last line is left out; others raise `Torn`."""
+    """Records of a file in the order written. An unfinished last line is left out; others raise
+    `RecordTorn`.
+    """
     with open(path, "rb") as file:
         for number, line in enumerate(file, 1):
             try:
                 row = msgspec.json.decode(line)
                 if not (isinstance(row, dict) and {"t", "at", "what"} <= row.keys()):
-                    raise Torn(f"{path}, line {number}: not a record")
+                    raise RecordTorn(f"{path}, line {number}: not a record")
             except msgspec.DecodeError as err:
                 if not line.endswith(b"\n"):
                     return
-                raise Torn(f"{path}, line {number}: {err}") from None
+                raise RecordTorn(f"{path}, line {number}: {err}") from None
             yield row
 
 
--- a/curlewhall/recovery/form.py
+++ b/curlewhall/recovery/form.py
@@ -6,6 +6,8 @@
 import msgspec
 import zstandard
 
+from curlewhall.errors import Mishap
+
 from .state import Entry
 
 MAGIC, VERSION = b"CWLH", 1
@@ -20,13 +22,17 @@
 _decode_all = msgspec.msgpack.Decoder(list[Entry]).decode
 
 
-class Newer(Exception):
+class Newer(Mishap):
     """Written by a later version of the program: nothing here may touch it."""
 
+    remedy = "Start the version that wrote the state folder, or give this one an empty folder."
+
 
-class Damaged(Exception):
+class Damaged(Mishap):
     """Not what was written."""
 
+    remedy = "Nothing at once: what is sound before it is gone by; look at the disk if it repeats."
+
 
 def head(kind: int) -> bytes:
     return HEAD.pack(MAGIC, VERSION, kind, 0)
--- a/curlewhall/recovery/store.py
+++ b/curlewhall/recovery/store.py
@@ -14,6 +14,8 @@
 from concurrent.futures import Future, ThreadPoolExecutor
 from pathlib import Path
 
+from curlewhall.errors import Mishap, told
+
 from . import form
 from .state import Entry, State
 
@@ -21,9 +23,11 @@
 AGAIN = 1.0  # seconds until a disk that failed is tried again
 
 
-class Busy(Exception):
+class Busy(Mishap):
     """Another process holds the folder."""
 
+    remedy = "Stop the process that holds the state folder, or name another state.folder."
+
 
 class Disk:
     """What the store does to files; tests put one that fails in its place."""
@@ -94,7 +98,7 @@
         except OSError as err:
             # Danger: a full disk must not become a crash loop. Nothing is kept until it can be.
             self.ill = True
-            self.tell("the state can't be kept", why=str(err))
+            self.tell("the state can't be kept", why=told(err))
         except BaseException:
             self.close()
             raise
@@ -113,7 +117,7 @@
             try:
                 rows = form.read_snapshot(self.disk.read(self.name("snapshot", generation)))
             except (form.Damaged, OSError) as err:
-                self.tell("a snapshot can't be read", generation=generation, why=str(err))
+                self.tell("a snapshot can't be read", generation=generation, why=told(err))
                 continue
             base = generation
             for row in rows:
@@ -125,7 +129,7 @@
             try:
                 rows, ended = form.entries(self.disk.read(self.name("log", generation)))
             except (form.Damaged, OSError) as err:
-                rows, ended = [], str(err)
+                rows, ended = [], told(err)
             for row in rows:
                 self.state.apply(row)
             if ended:
@@ -222,7 +226,7 @@
             # Danger: a full disk. What is not surely kept is said so; the state is written anew, whole,
             # later.
             self.failing, self.writing = True, False
-            self.log.error("the state can't be kept", why=str(err))
+            self.log.error("the state can't be kept", why=told(err))
             thens += self.thens
             self.thens, self.rows = [], []
             self.timers.after(AGAIN, self.again)
@@ -244,7 +248,7 @@
         err, self.mending = done.exception(), False
         if err is not None:
             self.rows = []
-            self.log.warning("the state still can't be kept", why=str(err))
+            self.log.warning("the state still can't be kept", why=told(err))
             self.timers.after(AGAIN, self.again)
             return
         self.failing = False
@@ -266,7 +270,7 @@
                 self.files.append(self.rows)
             except OSError as err:
                 sure = False
-                self.log.error("the last entries are not kept", why=str(err))
+                self.log.error("the last entries are not kept", why=told(err))
         thens, self.rows, self.thens = self.thens, [], []
         for then in thens:
             self.loop.call_soon(then, sure)
--- a/curlewhall/relay/channel.py
+++ b/curlewhall/relay/channel.py
@@ -8,6 +8,7 @@
 import time
 from typing import Any
 
+from curlewhall.errors import Mishap
 from curlewhall.front.driver import SECOND, Driver
 from curlewhall.interface import NodeRow
 from curlewhall.wire.client import Pool, Reply
@@ -22,9 +23,12 @@
 STATES = {"ready": "serving", "draining": "draining", "gone": "gone"}
 
 
-class Malformed(Exception):
+class EventUnreadable(Mishap):
     """What came is not of its form."""
 
+    remedy = ("Nothing at once: the front asks again from the last whole event; look at the "
+              "channel if it repeats.")
+
 
 class Events:
     """Collects (number, data) of whole events from fed bytes (WHATWG HTML, server-sent events)."""
@@ -35,20 +39,20 @@
         self.data, self.number, self.lines, self.size = bytearray(), "", [], 0
 
     def feed(self, piece: bytes) -> list[tuple[int, str]]:
-        """Whole events; `Malformed` for what can't be one, and nothing more is to be fed then."""
+        """Whole events; `EventUnreadable` for what can't be one, and nothing more is to be fed then."""
         found = []
         self.data += piece
         *lines, rest = self.data.split(b"\n")
         self.data = bytearray(rest)
         self.size += len(piece)
         if self.size > MOST:
-            raise Malformed("an event too long")
+            raise EventUnreadable("an event too long")
         for raw in lines:
             line = bytes(raw).removesuffix(b"\r")
             if not line:
                 if self.lines:
                     if not self.number.isdigit():
-                        raise Malformed("an event without a number")
+                        raise EventUnreadable("an event without a number")
                     found.append((int(self.number), "\n".join(self.lines)))
                 self.lines, self.number, self.size = [], "", len(self.data)
             elif not line.startswith(b":"):
@@ -157,7 +161,7 @@
         try:
             for number, data in self.events.feed(piece):
                 self.event(number, data)
-        except (Malformed, ValueError) as err:
+        except (EventUnreadable, ValueError) as err:
             self.log.warning("the channel can't be read", why=err)
             self.again()
 
@@ -171,7 +175,7 @@
             # Danger: a change built on one never seen. Asked for again once; what is missing then is lost.
             self.log.warning("a gap in the channel", have=self.cursor, came=number)
             self.skipped = True
-            raise Malformed("a gap")
+            raise EventUnreadable("a gap")
         self.cursor, self.skipped, self.failing = number, False, False
         self.command(command)
 
--- a/curlewhall/relay/serve.py
+++ b/curlewhall/relay/serve.py
@@ -7,6 +7,7 @@
 
 import uvloop
 
+from curlewhall.errors import told
 from curlewhall.front.collector import calm_collector
 from curlewhall.front.driver import Driver
 from curlewhall.policy import Front
@@ -34,7 +35,8 @@
             self.viewers = Viewers(self.driver, self.loop, self.timers, given.viewers, log)
             self.nodes = Nodes(self.driver, self.loop, self.timers, given.nodes, log, given.seed)
         except (KeyError, IndexError, TypeError, ValueError, AttributeError) as err:
-            raise card.Bad(f"the settings can't be used: {type(err).__name__}: {err}") from None
+            raise card.ConfigurationRefused(
+                f"the settings can't be used: {type(err).__name__}: {err}") from None
         self.driver.viewers, self.driver.nodes = self.viewers, self.nodes
         self.driver.peers, self.driver.moves = NoPeers(), NoMoves()
         self.channel = Channel(self.driver, self.loop, self.timers, given.channel, log, given.seed)
@@ -47,8 +49,8 @@
         """The channel may have moved; nothing else of the configuration changes under plays."""
         try:
             given = card.read(os.environ)
-        except card.Bad as err:
-            self.log.say(f"the old configuration is kept: {err}")
+        except card.ConfigurationRefused as err:
+            self.log.say(f"the old configuration is kept: {err.told}")
             return
         self.log.say("configuration read again", channel="{}:{}".format(*given.channel))
         self.channel.point(given.channel)
@@ -99,7 +101,7 @@
     try:
         given = card.read(os.environ)
         uvloop.run(until_told(given, Log()))
-    except (card.Bad, OSError) as err:
-        print(f"can't start: {err}", file=sys.stderr)
+    except (card.ConfigurationRefused, OSError) as err:
+        print(f"can't start: {told(err)}", file=sys.stderr)
         return 1
     return 0
--- a/curlewhall/relay/viewers.py
+++ b/curlewhall/relay/viewers.py
@@ -9,6 +9,7 @@
 from collections import OrderedDict
 from typing import NamedTuple
 
+from curlewhall.errors import Mishap
 from curlewhall.front.driver import Driver, Held
 from curlewhall.wire.line import Line
 from curlewhall.words import tenths
@@ -28,9 +29,11 @@
 NUMBER = re.compile(r"\d{1,9}")
 
 
-class Wrong(Exception):
+class SetUpRefused(Mishap):
     """A set-up that can't be taken; the text says why."""
 
+    remedy = "Look at the client that sent it: its set-up breaks the protocol, and it was refused."
+
 
 class Facts(NamedTuple):
     """What a set-up says of its play, with where the title is held."""
@@ -219,8 +222,8 @@
         known = self.sessions.get(name)
         try:
             facts, figures, limit = self.read(message)
-        except Wrong as err:
-            self.log.warning("a set-up that can't be taken", session=name, why=err)
+        except SetUpRefused as err:
+            self.log.warning("a set-up that can't be taken", session=name, why=err.told)
             if known is None or known.viewer is not viewer:
                 viewer.line.send(messages.message(messages.RELEASE, name, cause=bytes((WRONG,))))
             return
@@ -244,39 +247,39 @@
         self.driver.asked(held, figures.get("again") == "1", moved)
 
     def read(self, message: messages.Message) -> tuple[Facts, dict[str, str], int]:
-        """Facts, figures and patience of a set-up; `Wrong` for what the module must not hear."""
+        """Facts, figures and patience of a set-up; `SetUpRefused` for what the module must not hear."""
         fields = message.fields
         missing = [code for code in (messages.PRODUCT, messages.TITLE, messages.FIGURES, messages.DESCRIPTION)
                    if code not in fields]
         if missing:
-            raise Wrong(f"parameters {missing} are missing")
+            raise SetUpRefused(f"parameters {missing} are missing")
         if not int(message.session, 16):
-            raise Wrong("no session")
+            raise SetUpRefused("no session")
         product = self.products.get(fields[messages.PRODUCT].decode("latin-1"))
         if product is None:
-            raise Wrong("an unknown product")
+            raise SetUpRefused("an unknown product")
         if not TITLE.fullmatch(fields[messages.TITLE]):
-            raise Wrong("a title that can't be read")
+            raise SetUpRefused("a title that can't be read")
         text = fields[messages.FIGURES].decode("latin-1")
         pairs = [part.partition(":") for part in text.split(";") if part]
         figures = {key: value for key, _, value in pairs}
         if len(figures) != len(pairs) or not VIEWER.fullmatch(figures.get("viewer", "")):
-            raise Wrong("figures that can't be read")
+            raise SetUpRefused("figures that can't be read")
         home, copies, top = (self.figure(figures.get(key, ""), key) for key in ("home", "copies", "top"))
         if home >= self.places or not 0 < copies <= self.places or top >= self.rungs:
-            raise Wrong("figures out of range")
+            raise SetUpRefused("figures out of range")
         patience = 0
         if "at" not in figures:
             patience = tenths(self.figure(fields.get(messages.PATIENCE, b"").decode("latin-1"), "patience"))
             if not 0 < patience <= product[1]:
-                raise Wrong("a patience out of range")
+                raise SetUpRefused("a patience out of range")
         facts = Facts(message.session, fields[messages.PRODUCT].decode("latin-1"), figures["viewer"],
                       fields[messages.TITLE].decode("latin-1"), top, product[0], home, copies)
         return facts, figures, patience
 
     def figure(self, text: str, name: str) -> int:
         if not NUMBER.fullmatch(text):
-            raise Wrong(f"{name} is no number")
+            raise SetUpRefused(f"{name} is no number")
         return int(text)
 
     def resume(self, viewer: Viewer, facts: Facts, node: str) -> None:
--- a/curlewhall/settings/load.py
+++ b/curlewhall/settings/load.py
@@ -10,6 +10,8 @@
 
 from google.protobuf import text_format
 
+from curlewhall.errors import Mishap
+
 from . import front_pb2
 from .keys import read_keys
 from .positions import positions
@@ -27,9 +29,12 @@
         return f"line {self.line}, column {self.column}: {field}found {self.found}, expected {self.expected}"
 
 
-class WrongFile(Exception):
+class WrongFile(Mishap):
     """A file that is refused, with everything that is wrong with it."""
 
+    remedy = ("Correct the places named above; 'curlewhall check FILE' reads the file without "
+              "starting anything.")
+
     def __init__(self, path: str, complaints: list[Complaint]) -> None:
         super().__init__("\n".join(f"{path}: {c}" for c in complaints))
         self.path, self.complaints = path, complaints
--- a/curlewhall/sites/decide.py
+++ b/curlewhall/sites/decide.py
@@ -32,9 +32,9 @@
 WITNESSES = 2  # other fronts that have to see it too; all of them where there are fewer
 AGE = 5 * SECOND  # after which a word counts no more
 TO = 3  # fronts told in a look: flat in their number; 24 have two witnesses within a second
-HOLD, LONGEST = SECOND, 8 * SECOND  # after a loss nothing is taken back for so long; doubled each time, up to
+HOLD, LONGEST = SECOND // 2, 8 * SECOND  # nothing is taken back for so long; doubled with each loss, up to
 FORGIVEN = 60 * SECOND  # sound for so long: the next loss is a first one
-FIRST, STEP = 0.25, SECOND  # the part of a site that is let in at first; after which it may double
+FIRST, STEP = 0.25, SECOND // 2  # the part of a site that is let in at first; after so long it may double
 
 
 class Sites:
@@ -358,6 +358,11 @@
         """Nodes that the module is told are gone."""
         return {n.name for n in self.nodes.values() if n.hidden}
 
+    def missing(self) -> float:
+        """The part of the sites that are not whole whose nodes get no plays."""
+        nodes = [n for s in self.sites.values() if s.state in (LOST, RETURNING) for n in s.nodes.values()]
+        return sum(n.hidden for n in nodes) / len(nodes) if nodes else 0.0
+
     def cold_since(self, name: str) -> int | None:
         """Since when a node that was let in again is to be taken for cold; None: as the list says.
 
--- a/curlewhall/sites/plan.py
+++ b/curlewhall/sites/plan.py
@@ -146,7 +146,7 @@
 
     def __init__(self, plan: Plan) -> None:
         self.plan, self.asked, self.base, self.trim, self.turned, self.at = plan, 0.0, 0.0, 0.0, 0, 0
-        self.on = False
+        self.on, self.missing = False, 1.0
 
     def begin(self, now: int, asked: float) -> None:
         """The fleet has lost a site; `asked`: what was asked of it all before, in kB a second."""
@@ -155,7 +155,8 @@
 
     @property
     def refused(self) -> float:
-        return min(LAST, max(0.0, self.base + self.trim)) if self.on else 0.0
+        # as the room comes back less is refused, whatever the trim was
+        return min(LAST, max(0.0, self.base + self.trim * self.missing)) if self.on else 0.0
 
     def declined(self, product: str) -> None:
         """The module found no room for a play of this product."""
@@ -166,8 +167,9 @@
                 for name, (importance, _) in self.plan.terms.items()):
             self.turned += 1  # something less important is still taken in its place
 
-    def room(self, room: float) -> None:
-        """What the nodes that may have plays bear now."""
+    def room(self, room: float, missing: float) -> None:
+        """What the nodes that may have plays bear now, and the part of the lost sites that has none yet."""
+        self.missing = missing
         self.base = max(0.0, 1 - room / self.asked) if self.asked > 0 else 0.0
 
     def tick(self, now: int, full: float | None) -> None:
--- a/curlewhall/sites/run.py
+++ b/curlewhall/sites/run.py
@@ -2,6 +2,7 @@
 goes to the module by the list it is told and by `thinned`. The only part with I/O.
 """
 
+from collections.abc import Callable
 from zlib import crc32
 
 import msgspec
@@ -32,14 +33,14 @@
 class Watch(NoSites):
     """`front`: the process, with driver, nodes, follower, peers."""
 
-    def __init__(self, front, index: int, seed: int, titles) -> None:
+    def __init__(self, front, index: int, seed: int, titles, make: Callable = Sites) -> None:
         self.driver, self.nodes, self.follower = front.driver, front.nodes, front.follower
         self.timers, self.log, self.peers, self.titles = front.timers, front.log, front.peers, titles
         card = self.driver.card
         self.racks = max(1, card["specifics.shelves"])
         self.unit, self.uplink = card["specifics.link_unit_kb"], card["specifics.uplink_kb"]
         members = self.peers.members
-        self.sites = Sites(self.driver.clock.now(), index, members.members.members if members else (), seed,
+        self.sites = make(self.driver.clock.now(), index, members.members.members if members else (), seed,
                            card["rules.warm_within"])
         if members is not None:
             members.words = self.told
@@ -164,7 +165,7 @@
         """What the nodes that may have plays bear, and how much of it is used."""
         places = list(self.places().values())
         room = self.plan.room(places)
-        self.shedding.room(room)
+        self.shedding.room(room, self.sites.missing())
         heard = room > 0 and any(place.used is not None for place in places)
         self.shedding.tick(now, self.plan.used(places) / room if heard else None)
 
--- a/curlewhall/standins/links.py
+++ b/curlewhall/standins/links.py
@@ -324,7 +324,7 @@
             return
         head, found, body = data.partition(b"\r\n\r\n")
         if found and head.startswith(b"POST /v1/plays "):
-            with contextlib.suppress(forms.Malformed):
+            with contextlib.suppress(forms.FormUnreadable):
                 facts = forms.decode(forms.SetUp, body).facts
                 self.out = facts.play, facts.number
 
--- a/curlewhall/standins/node.py
+++ b/curlewhall/standins/node.py
@@ -139,7 +139,7 @@
         now = self.loop.time()
         try:
             asked = forms.decode(forms.SetUp, exchange.request.body)
-        except forms.Malformed as err:
+        except forms.FormUnreadable as err:
             exchange.reply(400, {}, str(err).encode())
             return
         facts = asked.facts
@@ -204,7 +204,7 @@
         play = self.plays.get(name)
         try:
             asked = forms.decode(forms.Rung, exchange.request.body)
-        except forms.Malformed as err:
+        except forms.FormUnreadable as err:
             exchange.reply(400, {}, str(err).encode())
             return
         if play is None or play.facts.number != asked.number or not 0 <= asked.rung <= play.facts.top:
@@ -222,7 +222,7 @@
         play = self.plays.get(name)
         try:
             asked = forms.decode(forms.Given, exchange.request.body)
-        except forms.Malformed as err:
+        except forms.FormUnreadable as err:
             exchange.reply(400, {}, str(err).encode())
             return
         if play is None or not play.playing or play.facts.number != asked.number:
--- a/curlewhall/wire/client.py
+++ b/curlewhall/wire/client.py
@@ -18,7 +18,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from .http import Limits, Message, Refused, Responses
+from .http import Limits, Message, MessageRefused, Responses
 from .timers import Timers
 
 READ = 16384  # segments come in pieces of some kilobytes
@@ -140,7 +140,7 @@
                 self.give(line)
                 line = None
             ask.settle(Reply("ok", message, time.monotonic() - ask.asked_at))
-        except Refused as err:
+        except MessageRefused as err:
             ask.settle(Reply("error", None, time.monotonic() - ask.asked_at, err.why))
         except (OSError, EOFError) as err:
             ask.settle(Reply("broken", None, time.monotonic() - ask.asked_at, str(err)))
--- a/curlewhall/wire/forms.py
+++ b/curlewhall/wire/forms.py
@@ -7,12 +7,16 @@
 
 import msgspec
 
+from curlewhall.errors import Mishap
+
 LINE = 4 << 20  # bytes of one line of a stream at most: a hello that names 10,000 plays is half of that
 
 
-class Malformed(Exception):
+class FormUnreadable(Mishap):
     """What came is not of its form."""
 
+    remedy = "See that both sides run versions that know each other; what was unreadable is left out."
+
 
 class Facts(msgspec.Struct, frozen=True):
     """What a node keeps of a play for the front that holds it, and gives back to one that starts anew."""
@@ -168,18 +172,18 @@
 
 
 def decode(form: type, data: bytes):
-    """`data` as a `form`, or `Malformed` with what is wrong."""
+    """`data` as a `form`, or `FormUnreadable` with what is wrong."""
     decoder = _decoders.get(form)
     if decoder is None:
         decoder = _decoders[form] = msgspec.json.Decoder(form)
     try:
         return decoder.decode(data)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as err:
-        raise Malformed(str(err)) from None
+        raise FormUnreadable(str(err)) from None
 
 
 class Lines:
-    """Cuts a stream into its lines; `Malformed` for one without end."""
+    """Cuts a stream into its lines; `FormUnreadable` for one without end."""
 
     def __init__(self) -> None:
         self.rest = b""
@@ -187,5 +191,5 @@
     def feed(self, data: bytes) -> list[bytes]:
         *lines, self.rest = (self.rest + data).split(b"\n")
         if len(self.rest) > LINE:
-            raise Malformed("a line without end")
+            raise FormUnreadable("a line without end")
         return [line for line in lines if line]
--- a/curlewhall/wire/http.py
+++ b/curlewhall/wire/http.py
@@ -10,6 +10,8 @@
 
 import httptools
 
+from curlewhall.errors import Mishap
+
 REASONS = {status.value: status.phrase for status in HTTPStatus}
 
 
@@ -27,9 +29,12 @@
     write: float = 10.0  # for one piece of an answer
 
 
-class Refused(Exception):
+class MessageRefused(Mishap):
     """A message that is not taken; `status` is the answer to it (RFC 9110 section 15.5)."""
 
+    remedy = ("Look at the sender: it does not speak HTTP/1.1, or goes over a limit of limits { } "
+              "in the settings.")
+
     def __init__(self, status: int, why: str) -> None:
         super().__init__(why)
         self.status, self.why = status, why
@@ -48,7 +53,8 @@
 class Reader:
     """Collects messages from fed bytes; complete ones wait in `messages`.
 
-    Raises `Refused` from `feed` for what breaks the form or a limit. The reader is of no use after that.
+    Raises `MessageRefused` from `feed` for what breaks the form or a limit. The reader is of no use after
+    that.
     """
 
     def __init__(self, limits: Limits) -> None:
@@ -60,23 +66,23 @@
         raise NotImplementedError
 
     def feed(self, data) -> None:
-        """Take bytes; `Refused` when they can't be the continuation of a sound message."""
+        """Take bytes; `MessageRefused` when they can't be the continuation of a sound message."""
         before, whole = self.current, len(self.messages)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            raise Refused(501, "no other protocol is spoken here") from None
+            raise MessageRefused(501, "no other protocol is spoken here") from None
         except httptools.HttpParserCallbackError as err:
             cause = err.__context__
-            raise cause if isinstance(cause, Refused) else Refused(400, f"{err}") from None
+            raise cause if isinstance(cause, MessageRefused) else MessageRefused(400, f"{err}") from None
         except httptools.HttpParserError as err:
-            raise Refused(400, str(err) or "malformed") from None
+            raise MessageRefused(400, str(err) or "malformed") from None
         if self.current is not None and self.names is not None:
             # Danger: a head without end. What came since its first byte counts, however it is cut up.
             if before is self.current or whole == len(self.messages):
                 self.seen = max(self.seen, len(data)) if before is not self.current else self.seen + len(data)
             if self.seen > self.limits.head:
-                raise Refused(431, "the head is too long")
+                raise MessageRefused(431, "the head is too long")
 
     # ---- called by the parser
 
@@ -88,11 +94,11 @@
         key = name.decode("latin-1").lower()
         self.fields += len(name) + len(value) + 4
         if self.fields > self.limits.head:
-            raise Refused(431, "the head is too long")
+            raise MessageRefused(431, "the head is too long")
         if b"\r" in value or b"\0" in value or b"\n" in value:
-            raise Refused(400, "a bare CR, LF or NUL in a field")
+            raise MessageRefused(400, "a bare CR, LF or NUL in a field")
         if key in self.names and key in ("content-length", "transfer-encoding", "host"):
-            raise Refused(400, f"{key} twice")
+            raise MessageRefused(400, f"{key} twice")
         self.names.add(key)
         old = self.current.headers.get(key)
         text = value.decode("latin-1").strip()
@@ -101,14 +107,14 @@
     def on_headers_complete(self) -> None:
         heads = self.current.headers
         if "content-length" in heads and "transfer-encoding" in heads:
-            raise Refused(400, "both a length and chunks")
+            raise MessageRefused(400, "both a length and chunks")
         if heads.get("transfer-encoding", "chunked").lower() != "chunked":
-            raise Refused(501, "no transfer coding but chunked")
+            raise MessageRefused(501, "no transfer coding but chunked")
         length = heads.get("content-length", "0")
         if not (length.isascii() and length.isdigit()):
-            raise Refused(400, "a length that is no number")
+            raise MessageRefused(400, "a length that is no number")
         if int(length) > self.limits.body:
-            raise Refused(413, "the body is too long")
+            raise MessageRefused(413, "the body is too long")
         self.names = None
         self.headed()
 
@@ -118,7 +124,7 @@
     def on_body(self, data: bytes) -> None:
         self.pieces.append(data)
         if sum(map(len, self.pieces)) > self.limits.body:
-            raise Refused(413, "the body is too long")
+            raise MessageRefused(413, "the body is too long")
 
     def on_message_complete(self) -> None:
         message, self.current = self.current, None
@@ -137,21 +143,21 @@
     def on_url(self, url: bytes) -> None:
         self.current.target += url.decode("latin-1")
         if len(self.current.target) > self.limits.line:
-            raise Refused(414, "the target is too long")
+            raise MessageRefused(414, "the target is too long")
 
     def headed(self) -> None:
         self.current.method = self.parser.get_method().decode("latin-1")
         version = self.parser.get_http_version()
         if version not in ("1.0", "1.1"):
-            raise Refused(505, "HTTP/1.0 and HTTP/1.1 only")
+            raise MessageRefused(505, "HTTP/1.0 and HTTP/1.1 only")
         if version == "1.1" and "host" not in self.current.headers:
-            raise Refused(400, "no host")  # RFC 9112 section 3.2
+            raise MessageRefused(400, "no host")  # RFC 9112 section 3.2
 
     def feed(self, data) -> None:
         super().feed(data)
         # Danger: a request target without end never reaches a header.
         if self.current is not None and len(self.current.target) > self.limits.line:
-            raise Refused(414, "the target is too long")
+            raise MessageRefused(414, "the target is too long")
 
 
 class Responses(Reader):
--- a/curlewhall/wire/server.py
+++ b/curlewhall/wire/server.py
@@ -13,7 +13,7 @@
 from collections import deque
 from collections.abc import Callable
 
-from .http import Limits, Message, Refused, Requests, chunk, response_head
+from .http import Limits, Message, MessageRefused, Requests, chunk, response_head
 from .timers import Timers
 
 READ = 2048  # bytes of a connection's own buffer: a viewer's request takes a few hundred
@@ -108,7 +108,7 @@
         if why == "idle" and self.exchanges:  # an answer is owed: nothing is idle
             self.watch(self.server.limits.idle, "idle")
         elif why == "read":
-            self.refuse(Refused(408, "the request did not end in time"))
+            self.refuse(MessageRefused(408, "the request did not end in time"))
         else:
             self.close()
 
@@ -154,7 +154,7 @@
                 while len(self.exchanges) >= limits.pipeline and not self.closed:
                     self.room.clear()
                     await self.room.wait()
-        except Refused as err:
+        except MessageRefused as err:
             self.refuse(err)
             return
         except (OSError, asyncio.CancelledError):
@@ -169,7 +169,7 @@
         self.exchanges.append(exchange)
         self.server.handle(exchange)
 
-    def refuse(self, err: Refused) -> None:
+    def refuse(self, err: MessageRefused) -> None:
         """Answer what can't be taken, after all that is still owed, and close."""
         if not self.closed and not self.last:
             self.last = True
--- /dev/null
+++ b/tests/sites/test_sites_fleet.py
@@ -0,0 +1,132 @@
+"""The watch in running fronts: sites that are killed, cut off, and come back, seen through the sockets."""
+
+import asyncio
+
+import pytest
+from front.town import Town, until
+from loopback import looped
+
+from curlewhall.drills.fleet import add_links
+from curlewhall.sites.state import LOST, WHOLE
+
+
+class Halls(Town):
+    """Eight nodes in two zones, several fronts that share keys."""
+
+    def __init__(self, folder, fronts=1, links=False):
+        super().__init__(folder, nodes=8, fronts=fronts, members=True)
+        (folder / "members.key").touch(mode=0o600)
+        (folder / "members.key").write_text("ab" * 32 + "\n")
+        if links:
+            add_links(self.plan)
+
+    def watch(self, index=0):
+        return self.fronts[index].driver.sites
+
+    def state(self, zone="north", index=0):
+        return self.watch(index).sites.sites[zone].state
+
+    def site(self, kind, value=1, zone="north"):
+        self.fleet.fault(f"site:{zone}", kind, value)
+
+    def at(self, zone="north"):
+        return {name for name, node in self.fleet.nodes.items() if node.spec["zone"] == zone}
+
+
+async def halls(folder, fronts=1, links=False):
+    place = Halls(folder, fronts, links)
+    await place.open()
+    for index in range(1, fronts):
+        await place.front(index=index)
+    return place
+
+
+@looped
+async def test_a_killed_site_is_hidden_and_its_return_let_in(tmp_path):
+    place = await halls(tmp_path)
+    try:
+        module = place.fronts[0].driver.module
+        place.site("die")
+        await until(lambda: place.state() == LOST)
+        assert {n for n, node in module.nodes.items() if node.row.state == "gone"} == place.at()
+        answers = [(await place.ask(viewer=f"v{i}"))[0] for i in range(4)]
+        assert {a.status for a in answers} <= {200, 503} and answers[0].status == 200
+        place.site("start")
+        await until(lambda: not place.watch().hidden)
+        # cold: the module paces what has come back, whatever the list says of it
+        now = place.fronts[0].driver.clock.now()
+        assert all(now - module.nodes[name].cold_from < 20_000 * 10 for name in place.at())
+        assert place.watch().state()["sites"]["north"]["hidden"] == 0
+    finally:
+        await place.close()
+
+
+@looped
+async def test_a_silent_site_and_one_dead_node_are_told_apart(tmp_path):
+    place = await halls(tmp_path)
+    try:
+        place.fleet.fault(sorted(place.at("south"))[0], "die", 1)
+        place.site("freeze")
+        await until(lambda: place.state() == LOST)
+        assert place.state("south") == WHOLE
+        place.site("freeze", 0)
+        await until(lambda: not place.watch().hidden)
+    finally:
+        await place.close()
+
+
+@looped
+async def test_a_front_that_is_cut_off_alone_is_not_believed(tmp_path):
+    """Both ways to one site are cut for one front of three: it goes elsewhere, the others go on there."""
+    place = await halls(tmp_path, fronts=3, links=True)
+    try:
+        for way in ("link:front-0>site:north", "link:site:north>front-0"):
+            place.fleet.fault(way, "cut", 1)
+        await until(lambda: place.state(index=0) == LOST)
+        heard = place.watch(1).sites.sites["north"].words
+        await until(lambda: 0 in heard and heard[0].dead)  # its word has come
+        assert place.state(index=1) == place.state(index=2) == WHOLE
+        await until(lambda: len(place.watch(0).sites.sites["north"].words) >= 1)  # and it is told otherwise
+        assert not place.watch(0).sites.sites["north"].fleet and not place.watch(0).thinned
+        for way in ("link:front-0>site:north", "link:site:north>front-0"):
+            place.fleet.fault(way, "cut", 0)
+        await until(lambda: not place.watch(0).hidden)
+    finally:
+        await place.close()
+
+
+@looped
+async def test_a_loss_that_all_see_is_the_fleets(tmp_path):
+    place = await halls(tmp_path, fronts=3)
+    try:
+        place.site("die")
+        for index in range(3):
+            await until(lambda index=index: place.watch(index).sites.sites["north"].fleet)
+        assert all(place.watch(index).shedding.on for index in range(3))
+    finally:
+        await place.close()
+
+
+@looped
+async def test_the_plan_beforehand_is_shown(tmp_path):
+    place = await halls(tmp_path)
+    try:
+        await until(lambda: place.watch().plan.costs)
+        shown = place.fronts[0].viewers.state()["sites"]
+        assert set(shown) == {"north", "south"}
+        assert set(shown["north"]["if_lost"]["placed"]) == {"dear", "plain", "paid"}
+        assert shown["north"]["state"] == WHOLE and shown["north"]["if_lost"]["titles_without"] >= 0
+    finally:
+        await place.close()
+
+
+@pytest.mark.parametrize(("target", "kind"), [("site:nowhere", "die"), ("link:*>site:nowhere", "cut")])
+@looped
+async def test_a_site_that_there_is_not_is_refused(tmp_path, target, kind):
+    place = await halls(tmp_path, links=True)
+    try:
+        with pytest.raises(ValueError, match="no node lies there"):
+            place.fleet.fault(target, kind, 1)
+    finally:
+        await place.close()
+        await asyncio.sleep(0)
--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -54,6 +54,8 @@
 @pytest.mark.parametrize(("call", "complaint"), [
     (["drill", "nothing"], "no drill is called 'nothing'"),
     (["drill", "badday", "--trouble", "nothing"], "no trouble is called 'nothing'"),
+    (["drill", "badday", "--draw", "3", "--trouble", "nothing"], "no trouble is called 'nothing'"),
+    (["drill", "site-loss", "--trouble", "nothing"], "no trouble is called 'nothing'"),
     (["drill", "badday", "--policy", "curlewhall.policy"], "is not MODULE:CLASS"),
     (["drill", "badday", "--policy", "nowhere:Front"], "No module named"),
     (["drill", "badday", "--nodes", "two"], "not a valid integer"),
