--- a/curlewhall/drills/fleet.py
+++ b/curlewhall/drills/fleet.py
@@ -149,7 +149,7 @@
     file.reports.told_every_ms = int(1000 * reports["told_every"])
     may = file.permissions
     may.probes = may.peer_messages = may.retry_after = True
-    may.max_retry_after_ms, may.max_allocations = plan.get("retry_ms", 1000), 3
+    may.max_retry_after_ms, may.max_allocations = 1000, 3
     file.rules.drain_grace_ms, file.rules.fall_ms = int(1000 * plan["grace"]), int(1000 * rules["fall"])
     file.rules.overload_factor, file.rules.start_capacity = rules["overload_factor"], rules["start_capacity"]
     file.rules.warm_within_ms = int(1000 * rules["warm_within"])
--- a/curlewhall/front/driver.py
+++ b/curlewhall/front/driver.py
@@ -11,7 +11,6 @@
 from typing import TYPE_CHECKING, Any
 
 from curlewhall.interface import NodeRow
-from curlewhall.readmit.absent import NoReadmit
 from curlewhall.recovery.absent import NoKeeper
 from curlewhall.sites.absent import NoSites
 
@@ -89,7 +88,7 @@
         self.busy = False
         self.plays: dict[str, Held] = {}
         self.viewers = self.nodes = self.peers = self.moves = None
-        self.keeper, self.sites, self.readmit = NoKeeper(), NoSites(), NoReadmit()
+        self.keeper, self.sites = NoKeeper(), NoSites()
         self.heir = None  # once this front hands over: what goes on elsewhere is told to it
         self.elsewhere: dict[str, Held] = {}  # plays that this front's predecessor is still setting up
         self.counts = dict.fromkeys(("asked", "played", "declined", "failed", "left", "ended", "guarded",
@@ -136,19 +135,12 @@
     def listed(self, how: str, rows: list[NodeRow]) -> None:
         self.hear("listed", how, rows)
 
-    def asked(self, held: Held, again: bool, moved: bool, turn: str = "") -> None:
+    def asked(self, held: Held, again: bool, moved: bool) -> None:
         """A viewer's request was taken; from here on it gets exactly one answer."""
         facts = held.facts
         self.plays[facts.play] = held
         self.counts["asked"] += 1
         self.keeper.took()
-        away = None if held.moved_from else self.readmit.asked(held, again, turn)
-        if away is not None:  # a crowd comes back, and its turn is later: nothing is asked of the module
-            self.close(held, "declined")
-            self.log.info("told its turn", play=facts.play, away_ms=away / 10)
-            self.viewers.decline(held, away)
-            self.drop(held)
-            return
         held.guard = self.timers.after(max(0, held.limit - self.clock.now()) / SECOND + 0.02, self.overdue,
                                        held)
         self.hear("asked", facts.play, facts.product, facts.customer, facts.viewer, facts.title, held.limit,
@@ -203,7 +195,6 @@
             # Danger: while the module reckons, the play may end at its node before its viewer knows of it.
             # The answer needs nothing that the module says to a first frame, so it leaves before.
             self.close(held, "played")
-            self.readmit.placed(held)
             self.viewers.play(held, number + held.offset)
         self.log.info("first frame", play=held.facts.play, allocation=number, node=node, rung=held.rung,
                       took_ms=span / 10)
@@ -228,8 +219,6 @@
             return
         number, held.playing = held.playing, None
         self.counts["ended"] += 1
-        if how == "broken":
-            self.readmit.lost()
         self.log.info("play ended", play=play, allocation=number, node=held.node, how=how)
         self.hear("ended", play, number, held.node, how, True, self.clock.now() - held.taken, {})
         self.drop(held)
@@ -306,7 +295,6 @@
                 return
             self.close(held, "declined")
             self.sites.declined(held.facts.product)
-            away = self.readmit.turned(held, away) if away else away
             self.log.info("declined", play=play, away_ms=away / 10)
             self.viewers.decline(held, away)
             self.drop(held)
--- a/curlewhall/front/serve.py
+++ b/curlewhall/front/serve.py
@@ -16,7 +16,6 @@
 from curlewhall.members.run import Membership
 from curlewhall.moves import Mover
 from curlewhall.moves.run import Moves
-from curlewhall.readmit.run import Doors
 from curlewhall.recovery.form import Newer
 from curlewhall.recovery.run import Keeper
 from curlewhall.recovery.state import State
@@ -114,8 +113,6 @@
             self.follower.borrower = Borrower(self.follower, self.fellows, key, seed)
         self.driver.sites = Watch(self, file.identity.index, seed, lambda: self.viewers.titles,
                                   sites or Sites)
-        if may.retry_after and may.max_retry_after_ms:
-            self.driver.readmit = Doors(self.driver, name, key, seed)
         self.open_store()
         drain_within = 10 * (file.moves.drain_within_ms or 30_000)
         if file.inventory.file:
@@ -149,8 +146,6 @@
         strict = bool(file.state.folder) and file.state.durability == STRICT
         # a folder that is empty may be one whose files were lost: only without one is it surely a first start
         alone = not file.state.folder and self.coming is None
-        # plays that a former process held, whose viewers may all come at once
-        self.driver.readmit.expect(len(state.out))
         self.driver.keeper = Keeper(store, strict, self.driver.card, state, alone)
 
     def open_peers(self) -> None:
--- a/curlewhall/front/viewers.py
+++ b/curlewhall/front/viewers.py
@@ -148,8 +148,7 @@
         # The answer has a way to go, and what is sent at the limit comes after it.
         held = Held(facts, title, exchange, now + max(0, limit - self.margin), now)
         exchange.gone = lambda: self.driver.left(held)
-        self.driver.asked(held, again=given.get("again", "0") == "1" or bool(moved), moved=bool(moved),
-                          turn=given.get("turn", "")[:1000])
+        self.driver.asked(held, again=given.get("again", "0") == "1" or bool(moved), moved=bool(moved))
 
     def adopt(self, exchange: Exchange, viewer: str, title: str, product: str) -> bool:
         """Answer a viewer with the paid play that this front found at a node when it started anew.
@@ -238,9 +237,7 @@
         return f"{self.url}/play/{quote(facts.title, safe='')}?{urlencode(query)}"
 
     def decline(self, held: Held, away: int) -> None:
-        turn = self.driver.readmit.token(held)
-        more = {"play": held.facts.play, **({"turn": turn} if turn else {})}
-        self.give(held, problems.document(503, "No holder of the title has room", away, **more))
+        self.give(held, problems.document(503, "No holder of the title has room", away, play=held.facts.play))
 
     def fail(self, held: Held, why: str) -> None:
         self.give(held, problems.document(502, why, play=held.facts.play))
@@ -257,7 +254,7 @@
                 "setting_up": sum(bool(held.out) for held in driver.plays.values()),
                 **({"members": driver.peers.members.state()} if driver.peers.members is not None else {}),
                 **({"list": self.follower.state()} if self.follower is not None else {}),
-                **driver.sites.state(), **driver.readmit.state(), "nodes": driver.nodes.state()}
+                **driver.sites.state(), "nodes": driver.nodes.state()}
 
 
 def number(given: dict[str, str], name: str, plain: int, low: int, high: int) -> int:
--- a/curlewhall/standins/crowd.py
+++ b/curlewhall/standins/crowd.py
@@ -123,8 +123,7 @@
         """
         product = who["product"]
         target = (f"/play/{quote(who['title'])}?product={product['name']}&viewer={who['viewer']}"
-                  f"&customer={who['customer']}&top={who['top']}&limit_ms={product['limit_ms']}"
-                  f"&again={int(again)}" + (f"&turn={who['turn']}" if who.get("turn") else ""))
+                  f"&customer={who['customer']}&top={who['top']}&limit_ms={product['limit_ms']}&again={int(again)}")
         patience = None if who["patience"] is None or number else who["patience"] * product["limit_ms"] / 1000
         plan, play = await self.request(who, f"{who['viewer']}/{number}", front, target, patience,
                                         number == 0)
@@ -160,7 +159,6 @@
                     play = document.get("play", "")
                     if "retry_after_ms" in document:
                         who["told"] = float(document["retry_after_ms"]) / 1000
-                    who["turn"] = document.get("turn", "")
             self.records.write("viewer", "answer", ask=ask, front=name, status=status, play=play,
                                product=product["name"], took=int(reply.took * 10_000),
                                away=who.get("told") if status != 200 else None)
