Floors: the circle over the drills is opened, the codecs lie below relay and stand-ins

Need: cli/main, drills and drills/faulty imported each other in a circle, and the daemon's worker the command's logs; the stand-ins of the platform took their codecs from the relay, so a mistake there was seen by neither side.

Change: the front with a failing disk is started from cli/faulty; logs.py lies below the command; codecs/ has the platform's messages and RTSP.

--- a/curlewhall/cli/daemon.py
+++ b/curlewhall/cli/daemon.py
@@ -10,10 +10,10 @@
 from rich.console import Console
 from rich.table import Table
 
+from curlewhall import logs
 from curlewhall.daemon.control import NotThere, ask, folder_of
 from curlewhall.errors import told
 
-from . import logs
 from .files import settings_of
 
 FILE = click.argument("file", type=click.Path(dir_okay=False))
--- a/curlewhall/cli/main.py
+++ b/curlewhall/cli/main.py
@@ -9,9 +9,10 @@
 from rich.console import Console
 from rich.table import Table
 
+from curlewhall import logs
 from curlewhall.errors import told
 
-from . import daemon, inventory, logs
+from . import daemon, inventory
 from .files import settings_of
 
 SHOWN = 12  # records shown of a broken rule
--- a/curlewhall/daemon/worker.py
+++ b/curlewhall/daemon/worker.py
@@ -15,7 +15,7 @@
 
 import uvloop
 
-from curlewhall.cli import logs
+from curlewhall import logs
 from curlewhall.errors import told
 from curlewhall.front.collector import calm_collector
 from curlewhall.front.serve import FrontProcess, policy
--- a/curlewhall/drills/faulty.py
+++ b/curlewhall/drills/faulty.py
@@ -1,6 +1,6 @@
 """A front whose disk fails on purpose: full, slow, read-only, or dead at a point within a write.
 
-    python -m curlewhall.drills.faulty CONTROL serve FILE [...]
+    python -m curlewhall.cli.faulty CONTROL serve FILE [...]
 
 What the file CONTROL says holds from the next write on: "" (sound), "full", "slow", "readonly", or
 "die:POINT:N", which kills the process outright (as kill -9 does) at the N-th write from then on. Points:
@@ -11,7 +11,6 @@
 import errno
 import os
 import signal
-import sys
 import time
 from pathlib import Path
 
@@ -81,10 +80,8 @@
         self.die(point, "replaced")
 
 
-if __name__ == "__main__":
-    Faulty.control = Path(sys.argv[1])
+def put_in(control: Path) -> None:
+    """From now on every store of this process writes by what `control` says."""
+    Faulty.control = control
     store.Disk = Faulty
     store.LARGE = 4000  # a new generation every few dozen plays, so that a short day has some
-    from curlewhall.cli import main
-
-    main(sys.argv[2:], prog_name="curlewhall")
--- a/curlewhall/drills/fleet.py
+++ b/curlewhall/drills/fleet.py
@@ -253,7 +253,7 @@
         how = "start" if self.plan.get("daemon") else "serve"
         program = ["curlewhall"]
         if self.plan.get("faulty"):
-            program = ["curlewhall.drills.faulty", str(self.folder / f"{name}.disk")]
+            program = ["curlewhall.cli.faulty", str(self.folder / f"{name}.disk")]
         # another version of the program may be measured on the same rig: a checkout of it
         self.fronts[name] = self.spawn(name, [*program, how, file, *self.named], self.plan.get("fronts_at"))
 
--- a/curlewhall/relay/nodes.py
+++ b/curlewhall/relay/nodes.py
@@ -6,12 +6,12 @@
 
 import time
 
+from curlewhall.codecs import rtsp
 from curlewhall.front.driver import SECOND, Driver, Held
 from curlewhall.interface import NodeRow
 from curlewhall.wire.line import Line, connect
 from curlewhall.words import report_of
 
-from . import rtsp
 from .decide import Silences, WaysIn
 
 PROBE = 0.25  # seconds for a report; several times what a sound node takes
--- a/curlewhall/relay/viewers.py
+++ b/curlewhall/relay/viewers.py
@@ -9,13 +9,12 @@
 from collections import OrderedDict
 from typing import NamedTuple
 
+from curlewhall.codecs import messages
 from curlewhall.errors import Mishap
 from curlewhall.front.driver import Driver, Held
 from curlewhall.wire.line import Line
 from curlewhall.words import tenths
 
-from . import messages
-
 SILENT = 2.0  # seconds to a connection's first sound message, or for one half sent; 3 s are allowed from its
 # opening, and a look every LOOK seconds may come late on a busy core
 LOOK = 0.25
--- a/curlewhall/standins/platform.py
+++ b/curlewhall/standins/platform.py
@@ -11,7 +11,7 @@
 import socket
 import struct
 
-from curlewhall.relay import messages, rtsp
+from curlewhall.codecs import messages, rtsp
 
 RST = struct.pack("ii", 1, 0)
 # what a node does with a set-up
--- a/tests/daemon/test_handover.py
+++ b/tests/daemon/test_handover.py
@@ -10,7 +10,7 @@
 from front.town import town, until
 from loopback import Peer, looped
 
-from curlewhall.cli import logs
+from curlewhall import logs
 from curlewhall.daemon.channel import LARGEST, Channel, pair
 from curlewhall.daemon.handover import Coming, Leaving
 from curlewhall.dash import manifest
--- a/tests/front/test_driver.py
+++ b/tests/front/test_driver.py
@@ -5,7 +5,7 @@
 import pytest
 from loopback import looped
 
-from curlewhall.cli import logs
+from curlewhall import logs
 from curlewhall.front.driver import Driver, Held
 from curlewhall.wire.forms import Facts, Title
 from curlewhall.wire.timers import Timers
--- a/tests/front/test_front.py
+++ b/tests/front/test_front.py
@@ -10,8 +10,7 @@
 from front.town import Town, town, until
 from loopback import Peer, looped
 
-from curlewhall import policy
-from curlewhall.cli import logs
+from curlewhall import logs, policy
 from curlewhall.dash import tokens
 from curlewhall.drills.baselines import TwoDrawn
 from curlewhall.drills.fleet import settings
--- a/tests/front/town.py
+++ b/tests/front/town.py
@@ -5,7 +5,7 @@
 import json
 from urllib.parse import urlencode
 
-from curlewhall.cli import logs
+from curlewhall import logs
 from curlewhall.dash import manifest
 from curlewhall.drills.fleet import make_plan, settings
 from curlewhall.front.serve import FrontProcess
--- a/tests/recovery/test_recovery.py
+++ b/tests/recovery/test_recovery.py
@@ -15,7 +15,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 from loopback import looped
 
-from curlewhall.cli import logs
+from curlewhall import logs
 from curlewhall.recovery import form
 from curlewhall.recovery.decide import LONGEST_DOUBT, Doubts, Window, ran_for
 from curlewhall.recovery.run import Keeper
--- a/tests/relay/test_codecs.py
+++ b/tests/relay/test_codecs.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from curlewhall.relay import messages, rtsp
+from curlewhall.codecs import messages, rtsp
 
 NAME = "9b1f03aa5c7e2d41"
 SET_UP = messages.message(messages.SET_UP, NAME, product=b"paid", patience=b"1500", title=b"7f3a9c21e0b4d655",
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -8,8 +8,9 @@
 from loopback import looped
 from relay.town import town
 
-from curlewhall.relay import decide, messages, nodes, viewers
-from curlewhall.relay.messages import ANSWER, CAUSE, DESCRIPTION, RELEASE
+from curlewhall.codecs import messages
+from curlewhall.codecs.messages import ANSWER, CAUSE, DESCRIPTION, RELEASE
+from curlewhall.relay import decide, nodes, viewers
 from curlewhall.standins.platform import SPOILT, release
 
 
--- a/tests/relay/test_relay_process.py
+++ b/tests/relay/test_relay_process.py
@@ -13,7 +13,8 @@
 from loopback import looped, poll
 from relay.town import free_port, settings
 
-from curlewhall.relay import card, messages
+from curlewhall.codecs import messages
+from curlewhall.relay import card
 from curlewhall.standins.platform import Platform
 
 HEAVY = ("matplotlib", "lxml", "jinja2", "rich", "structlog", "click", "google.protobuf", "crc32c",
--- a/tests/relay/test_standing.py
+++ b/tests/relay/test_standing.py
@@ -10,7 +10,7 @@
 from loopback import looped
 from relay.test_relay_process import config, run
 
-from curlewhall.relay import messages
+from curlewhall.codecs import messages
 from curlewhall.standins.platform import Platform
 
 LIMIT = 3.0  # seconds: the longest time limit of the settings here
