--- a/curlewhall/relay/serve.py
+++ b/curlewhall/relay/serve.py
@@ -30,6 +30,7 @@
     def __init__(self, given: card.Given, log: Log) -> None:
         self.log, self.loop = log, asyncio.get_running_loop()
         self.timers, self.over = Timers(self.loop), asyncio.Event()
+        self.before: dict[str, int] = {}  # what was counted when this front was told to leave
         try:
             self.driver = Driver(Front, given.seed, given.card, self.timers, log)
             self.viewers = Viewers(self.driver, self.loop, self.timers, given.viewers, log)
@@ -59,6 +60,7 @@
         """Take what still comes, answer what is owed, then leave."""
         if self.viewers.ready:
             self.viewers.ready = False
+            self.before = dict(self.driver.counts)
             self.log.say("leaving", standing=len(self.driver.plays))
             self.timers.after(LINGER, self.leave)
 
@@ -75,6 +77,9 @@
         elif any(not held.answered for held in self.driver.plays.values()):
             self.timers.after(0.02, self.leave)  # owed to one whose connection is gone: no answer is due
         else:
+            since = {name: count - self.before.get(name, 0) for name, count in self.driver.counts.items()}
+            self.log.say("left", asked=since["asked"], played=since["played"], declined=since["declined"],
+                         failed=since["failed"], gone=since["left"])
             self.timers.after(0.05, self.over.set)  # the last answers are on their way
 
     def close(self) -> None:
