A node that can only not be reached keeps its plays: its viewers may still have it

Seen while the cuts of a site were drilled: front/nodes.py, stream_ended, took every stream that could not be had again for a dead process ("Refused", says its comment, but a connection that does not come up ends the same way) and ended the plays there for the front; when the link healed the node's hello showed plays that the front did not know, and it told the node to end them. The pool now tells a refusal from silence, so only a refusal ends plays. Test: both ways of a site cut, its connections reset, then healed; fails without the change.

Also a test of the figures for Prometheus.

--- a/curlewhall/front/nodes.py
+++ b/curlewhall/front/nodes.py
@@ -235,8 +235,10 @@
         node.since = self.driver.clock.now()
         if reply.ending in ("unreached", "broken"):
             self.driver.sites.heard(node.row.node, failure(reply))
-        if reply.ending == "unreached":
-            # Refused: the process is gone and its plays with it.
+        if failure(reply) == "refused":
+            # The process is gone and its plays with it. Danger: where no connection comes up the node may
+            # only be cut off from here, its plays go on for their viewers, and it would be told to end them
+            # later.
             self.lost(node.row.node)
         self.follow_later(node, node.waits.next())
 
--- a/tests/console/test_console.py
+++ b/tests/console/test_console.py
@@ -158,6 +158,22 @@
         assert "no holder serves" in await place.text("/")
 
 
+@looped
+async def test_figures_of_sites(tmp_path):
+    async with watched(tmp_path, nodes=8) as place:
+        watch = place.fronts[0].driver.sites
+        await until(lambda: watch.plan.costs)
+        text = await place.text("/metrics")
+        assert 'curlewhall_site{site="north",state="whole"} 1.0' in text
+        assert 'curlewhall_site_if_lost_placed{product="paid",site="south"} 1.0' in text
+        assert 'curlewhall_site_if_lost_titles{holders="0",site="north"}' in text
+        assert "curlewhall_refused_for_sites 0.0" in text
+        place.fleet.fault("site:north", "die", 1)
+        await until(lambda: watch.sites.sites["north"].state == "lost")
+        text = await place.text("/metrics")
+        assert 'curlewhall_site_nodes_without_plays{site="north"} 4.0' in text
+
+
 class Plenty:
     """Plays by the thousand, of which a search looks at some."""
 
--- a/tests/sites/test_sites_fleet.py
+++ b/tests/sites/test_sites_fleet.py
@@ -130,3 +130,29 @@
     finally:
         await place.close()
         await asyncio.sleep(0)
+
+
+@looped
+async def test_plays_at_a_site_that_is_cut_off_go_on_and_are_held_again(tmp_path):
+    """Their viewers reach the node all the time. Seats stay taken, and the node is told to end nothing."""
+    place = await halls(tmp_path, links=True)
+    try:
+        for i in range(6):
+            await place.ask(viewer=f"v{i}")
+        driver, north = place.fronts[0].driver, place.at("north")
+        held = {play for play, h in driver.plays.items() if h.node in north and h.playing is not None}
+        assert held
+        for way in ("link:*>site:north", "link:site:north>*"):
+            place.fleet.fault(way, "cut", 1)
+        place.fleet.fault("link:*>site:north", "reset", 0)  # connections break, and none comes up again
+        await until(lambda: place.state() == LOST)
+        waits = [n for n in place.fronts[0].nodes.nodes.values() if n.row.node in north]
+        await until(lambda: all(n.waits.last > 0.5 for n in waits))  # each was tried in vain
+        assert held <= driver.plays.keys()
+        for way in ("link:*>site:north", "link:site:north>*"):
+            place.fleet.fault(way, "cut", 0)
+        await until(lambda: not place.watch().hidden)
+        there = {play for name in north for play in place.fleet.nodes[name].plays}
+        assert held <= there & driver.plays.keys()
+    finally:
+        await place.close()
