--- a/bench/sites.py
+++ b/bench/sites.py
@@ -101,7 +101,7 @@
     (results / "sites.md").write_text("\n".join([
         "# A whole site lost, cut off, coming and going, coming back (processes on loopback)", "",
         f"`python -m bench.sites`: stand-ins, {NODES} nodes in two zones, 8 fronts, {SECONDS:.0f} s, {seeds} "
-        f"drawn seeds a drill, both programs on the first {BESIDE}, {TOGETHER} days at a time on one machine.",
+        f"drawn seeds a drill, both programs on the first {BESIDE}, {TOGETHER} days at a time.",
         "", *summary(rows), "",
         "What was drawn:", "", *kinds(rows), "", *errors, ""]))
 
