Sites: the walk over plays goes in slices, reports of gone nodes are let go

Need: the mix of products was summed over all plays each second; at 100,000 held plays that stops the loop for tens of milliseconds by the same reckoning as the console's walk. 2,000 a tick now; a test walks 5,000. Reports of nodes that the list took away were kept for ever.

--- a/curlewhall/sites/run.py
+++ b/curlewhall/sites/run.py
@@ -3,6 +3,7 @@
 """
 
 from collections.abc import Callable
+from itertools import islice
 from zlib import crc32
 
 import msgspec
@@ -18,6 +19,7 @@
 SECOND = 10_000
 ASK_LIMIT = 1.5  # seconds: far longer than a slow node takes for a report, see `decide`
 RECKON = 5 * SECOND  # between two reckonings of what each site's loss would cost; less often on a busy front
+SLICE = 2000  # plays looked at in a tick: a millisecond or so
 BUSY = 100  # times what a reckoning took that must have passed before the next: one per cent of a core
 # an allocation's ending as evidence of its node
 SHOWS = {"ok": "answered", "full": "answered", "error": "answered", "late": "late", "broken": "reset"}
@@ -58,6 +60,7 @@
         self.zones: set[str] = set()  # all that the list ever told of
         self.count = 0  # titles
         self.reckoned, self.warned, self.thinned = 0, None, {}
+        self.round, self.left, self.needs, self.used = iter(()), 0, {}, 0.0
         self.timer, self.closed, self.said = None, False, 0
 
     def start(self) -> None:
@@ -86,6 +89,7 @@
         lines = [(row.node, self.site(row), row.state, row.started_ms) for row in rows]
         for name in [name for name, row in self.rows.items() if row.state == "gone"]:
             del self.rows[name]
+            self.reports.pop(name, None)
         titles = self.titles()
         if whole or len(titles) != self.count:
             self.count = len(titles)
@@ -146,12 +150,7 @@
         if self.closed:
             return
         now, began = self.driver.clock.now(), self.driver.clock.source()
-        entry, used = dict.fromkeys(self.entry, 0.0), 0.0
-        for held in self.driver.plays.values():
-            if held.playing is not None:
-                entry[held.facts.product] += self.entry[held.facts.product]
-                used += self.rates[held.facts.product][held.rung]
-        self.plan.held(entry, used)
+        self.walk()
         if self.shedding.on:
             self.look_at_room(now)
         elif now >= self.reckoned and all(site.state == WHOLE for site in self.sites.sites.values()):
@@ -161,6 +160,21 @@
         self.thin()
         self.timers.after(TICK / SECOND, self.tick)
 
+    def walk(self) -> None:
+        """What the plays held need at entry and use now. Danger: a walk over 100,000 of them would stop the
+        loop; a round takes as many ticks as it needs.
+        """
+        for held in islice(self.round, SLICE):
+            if held.playing is not None:
+                product = held.facts.product
+                self.needs[product] = self.needs.get(product, 0.0) + self.entry[product]
+                self.used += self.rates[product][held.rung]
+            self.left -= 1
+        if self.left <= 0:
+            self.plan.held(self.needs, self.used)
+            plays = list(self.driver.plays.values())
+            self.round, self.left, self.needs, self.used = iter(plays), len(plays), {}, 0.0
+
     def look_at_room(self, now: int) -> None:
         """What the nodes that may have plays bear, and how much of it is used."""
         places = list(self.places().values())
--- a/tests/sites/test_sites_fleet.py
+++ b/tests/sites/test_sites_fleet.py
@@ -156,3 +156,22 @@
         assert held <= there & driver.plays.keys()
     finally:
         await place.close()
+
+
+@looped
+async def test_a_walk_over_many_plays_is_done_in_slices(tmp_path):
+    place = await halls(tmp_path)
+    try:
+        watch, driver = place.watch(), place.fronts[0].driver
+        await place.ask(product="dear")
+        held = next(h for h in driver.plays.values() if h.playing is not None)
+        driver.plays = {f"p{i}": held for i in range(5000)}
+        watch.round, watch.left = iter(()), 0
+        told = []
+        watch.plan.held = lambda needs, used: told.append(sum(needs.values()))
+        for _ in range(4):  # a round begins, and is through after three slices
+            watch.walk()
+        assert told[0] == 0 and told[1] == 5000 * watch.entry["dear"] and len(told) == 2
+    finally:
+        driver.plays.clear()
+        await place.close()
