Judge: rule 6 counts set-ups as their fronts sent them, where links show it

Checked in the records of the play: three of the seven arrived at three nodes within 0.4 ms, number 2 of a play before its number 1: the cut had held them back, and they had been sent up to four seconds earlier, when the window had room. The front's books were right; the judge counted by arrival (rules/judge.py, budget). Links now record what is handed to them at the front's side, as they do for what is let go, and the judge counts by that; what never arrives counts too. Table cases for both.

--- a/curlewhall/rules/judge.py
+++ b/curlewhall/rules/judge.py
@@ -318,7 +318,11 @@
 
 
 def budget(by_what: dict, terms: Terms) -> Iterable[Broken]:
-    """Rule 6: further allocations in any window within a few plus a share of the plays taken in it."""
+    """Rule 6: further allocations in any window within a few plus a share of the plays taken in it.
+
+    Counted as their fronts sent them, where links show that: what a cut held back arrives together with what
+    was sent seconds later.
+    """
     if terms.look_back is None:
         return
     taken, further = defaultdict(list), defaultdict(list)
@@ -329,10 +333,9 @@
             # a viewer meets one of a front's workers, each an instance; the play's id tells which
             name = answer["play"].rsplit("-", 2)
             taken[name[0] if len(name) == 3 else row["front"]].append(row["t"])
-    for what in ("setup", "refused"):
-        for row in by_what[what]:
-            if row["number"] > 0:
-                further[row["front"]].append(row)
+    for row in by_what["handed"] or [*by_what["setup"], *by_what["refused"]]:
+        if row["number"] > 0:
+            further[row["front"]].append(row)
     for front, rows in further.items():
         rows.sort(key=lambda row: row["t"])
         for i, row in enumerate(rows):
--- a/curlewhall/standins/links.py
+++ b/curlewhall/standins/links.py
@@ -325,8 +325,12 @@
         head, found, body = data.partition(b"\r\n\r\n")
         if found and head.startswith(b"POST /v1/plays "):
             with contextlib.suppress(forms.FormUnreadable):
-                facts = forms.decode(forms.SetUp, body).facts
+                asked = forms.decode(forms.SetUp, body)
+                facts = asked.facts
                 self.out = facts.play, facts.number
+                # A cut holds it back: it may reach its node long after its front has sent it.
+                self.links.records.write(f"node:{self.door.there}", "handed", play=facts.play,
+                                         number=facts.number, front=asked.front)
 
     def answered(self, data: bytes | None) -> None:
         if data is not None:  # a node that dies ends the allocation, and says so itself
--- a/tests/rules/test_judge.py
+++ b/tests/rules/test_judge.py
@@ -39,6 +39,10 @@
     return {"t": t, "at": f"node:{node}", "what": "let_go", "play": play, "number": number, "front": front}
 
 
+def handed(t, node="n", play="p", number=0, front="a"):
+    return {"t": t, "at": f"node:{node}", "what": "handed", "play": play, "number": number, "front": front}
+
+
 def told(t, state, node="n", front="a", how="changes", started=0):
     return {"t": t, "at": "list", "what": "told", "front": front, "how": how,
             "rows": [[node, state, started]]}
@@ -142,6 +146,10 @@
     "over the budget": ("6", [row for i in range(10) for row in (
         ask(i, f"v{i}/0"), answer(i + 20, ask=f"v{i}/0"))] + [setup(S, number=1, play=f"q{i}")
                                                               for i in range(3)]),
+    "sent apart, held back by a cut, and arrived together": ("", [
+        *(handed(i * 11 * S, number=1, play=f"p{i}") for i in range(3)),
+        *(setup(40 * S, number=1, play=f"p{i}") for i in range(3))]),
+    "sent together, and never arrived": ("6", [handed(S, number=1, play=f"p{i}") for i in range(3)]),
     "over the budget, long ago": ("", [setup(S, number=1, play="a"), setup(12 * S, number=1, play="b")]),
 }
 
