--- a/tests/sites/test_sites_drills.py
+++ b/tests/sites/test_sites_drills.py
@@ -13,7 +13,7 @@
 CALLS = {
     "return": ["site-return", *DAY],
     "cut": ["site-cut", *DAY],
-    "flap": ["site-flap", "--draw", "6", *DAY],  # a cut; once misread: held back by it, seven arrived together
+    "flap": ["site-flap", "--draw", "6", *DAY],  # a cut; once misread by the judge
     "alarmist": ["site-return", *DAY, "--sites", "curlewhall.drills.breakers:Alarmist"],
 }
 
