--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -3,9 +3,13 @@
 import asyncio
 import contextlib
 import functools
+import json
 import select
 import socket
+import subprocess
+import sys
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 import uvloop
 
@@ -88,3 +92,18 @@
         yield server.sockets[0].getsockname()[1]
     finally:
         server.close()
+
+
+def played(calls, tmp_path_factory):
+    """Drills by name, all at once: what they wait for is time, not the processor. Code, report, what was
+    said.
+    """
+    def play(name):
+        out = tmp_path_factory.mktemp("drill") / f"{name}.json"
+        done = subprocess.run([sys.executable, "-m", "curlewhall", "drill", *calls[name], "--json", str(out)],
+                              capture_output=True, text=True, timeout=120)
+        found = json.loads(out.read_text()) if out.exists() else {}
+        return done.returncode, found, done.stdout + done.stderr
+
+    with ThreadPoolExecutor(len(calls)) as pool:
+        return dict(zip(calls, pool.map(play, calls), strict=True))
--- a/tests/sites/test_sites_drills.py
+++ b/tests/sites/test_sites_drills.py
@@ -1,11 +1,7 @@
 """Whole sites over processes: what is kept is found kept, and watches that do harm are caught."""
 
-import json
-import subprocess
-import sys
-from concurrent.futures import ThreadPoolExecutor
-
 import pytest
+from loopback import played
 
 pytestmark = pytest.mark.days
 
@@ -20,16 +16,7 @@
 
 @pytest.fixture(scope="module")
 def days(tmp_path_factory):
-    """All at once: what they wait for is time, not the processor."""
-    def play(name):
-        out = tmp_path_factory.mktemp("drill") / f"{name}.json"
-        done = subprocess.run([sys.executable, "-m", "curlewhall", "drill", *CALLS[name], "--json", str(out)],
-                              capture_output=True, text=True, timeout=120)
-        found = json.loads(out.read_text()) if out.exists() else {}
-        return done.returncode, found, done.stdout + done.stderr
-
-    with ThreadPoolExecutor(len(CALLS)) as pool:
-        return dict(zip(CALLS, pool.map(play, CALLS), strict=True))
+    return played(CALLS, tmp_path_factory)
 
 
 @pytest.mark.parametrize("name", ["return", "cut", "flap"])
