Tests: folders of drills that run side by side are made by one thread

Seen: once, 4 errors in tests/sites/test_sites_drills.py in its fixture, none in three plays after. The folders are made before the threads begin.

--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -98,8 +98,10 @@
     """Drills by name, all at once: what they wait for is time, not the processor. Code, report, what was
     said.
     """
+    folders = {name: tmp_path_factory.mktemp("drill") for name in calls}  # one thread numbers them
+
     def play(name):
-        out = tmp_path_factory.mktemp("drill") / f"{name}.json"
+        out = folders[name] / f"{name}.json"
         done = subprocess.run([sys.executable, "-m", "curlewhall", "drill", *calls[name], "--json", str(out)],
                               capture_output=True, text=True, timeout=120)
         found = json.loads(out.read_text()) if out.exists() else {}
