Sites: a change of the list does not have the plan reckoned at once

Seen on the last read: each line of the list had every site's loss reckoned in the next second, past the bound of one per cent of a core that the plan keeps. It comes with its own turn now, five seconds at the latest on a small front.

--- a/curlewhall/sites/run.py
+++ b/curlewhall/sites/run.py
@@ -94,7 +94,6 @@
         if whole or len(titles) != self.count:
             self.count = len(titles)
             self.plan.titles((title.first_place, title.places) for title in titles.values())
-        self.reckoned = 0
         self.carry(self.sites.listed(self.driver.clock.now(), lines, whole))
 
     def set_up(self, node: str, how: str) -> None:
