--- a/curlewhall/drills/sites.py
+++ b/curlewhall/drills/sites.py
@@ -200,7 +200,8 @@
     claims = {"unanswered": (0, lambda counts, rows: counts["unanswered"]),
               "shunned": (0, partial(shunned, plan)),
               **{name: (bound, partial(figure, plan, zone, name)) for name, bound in bounds.items()}}
-    return Script(steps, claims, [f"site-{make.__name__}", zone, *told], partial(figures, plan, zone))
+    name = next(name for name, made in SITES.items() if made.args[0] is make)
+    return Script(steps, claims, [name, zone, *told], partial(figures, plan, zone))
 
 
 SITES = {f"site-{name}": partial(drill, make) for name, make in (
