Sites: titles left with one holder or none are counted over the settings' places

Seen on the last read: the plan took the highest place of the nodes at hand for the number of places. Lists number places past it (a node's place counts modulo the settings' number, as the module reads it), so the row of a title ran over places that hold nothing, and the counts of titles with one holder or none in /v1/state and for Prometheus were wrong.

Beside it: the module docstring still told of viewers drawn by their ids, which was tried and left; importance is kept once; parts() passes over what is kept in place of reckoning a least of it.

--- a/curlewhall/sites/plan.py
+++ b/curlewhall/sites/plan.py
@@ -4,8 +4,8 @@
 The design admits sessions while there is room and keeps the lowest-worth class to a slice of each server, so
 that streams are left for dearer ones ("Access Policies for Distributed Video-on-Demand Systems"). A site that
 is lost takes room away and leaves what is asked as it was. So the slice of the lowest class shrinks by what
-is missing, then that of the next: a product's *part* is the part of its viewers that may still be placed
-above the threshold. The module draws those by the viewers' ids, as it does for customers beyond their share.
+is missing, then that of the next: a product's *part* is what there is room for of it, and by that the module
+is told up to which part of a node's room it is placed.
 """
 
 from collections import Counter
@@ -26,8 +26,9 @@
 
 
 class Place(NamedTuple):
-    """A node as room: its site, rack and place, its link and its share of the uplink, and what of that is
-    used, in kB a second (None: not known)."""
+    """A node as room: its site, its rack, the place whose titles it holds, its link, and what of that is
+    used, in kB a second (None: not known).
+    """
 
     site: str
     rack: int
@@ -38,7 +39,8 @@
 
 class Cost(NamedTuple):
     """What the loss of a site would do: `parts` of each product that could still be placed; what would be
-    asked over the room left; titles whose holders would be one, or none."""
+    asked over the room left; titles whose holders would be one, or none.
+    """
 
     parts: dict[str, float]
     asked: float
@@ -56,10 +58,9 @@
     """Of each product the part that is placed when `refused` (kB a second) of all is not: the least important
     goes first, down to nothing, then the next. What is `kept` is never refused for this.
     """
-    found, kept = {}, set(kept)
-    for product in sorted(asked, key=lambda name: (importance.get(name, 0.0), name)):
-        least = 0.0 if product not in kept else asked[product]
-        away = min(max(0.0, refused), asked[product] - least)
+    found = dict.fromkeys(asked, 1.0)
+    for product in sorted(asked.keys() - set(kept), key=lambda name: (importance.get(name, 0.0), name)):
+        away = min(max(0.0, refused), asked[product])
         refused -= away
         found[product] = 1 - away / asked[product] if asked[product] > 0 else 1.0
     return found
@@ -69,11 +70,13 @@
     """The cost of each site's loss, from the list and the present load.
 
     `terms`: product -> (importance, whether a set-up is paid for). `uplink`: of a rack, in kB a second.
+    `places`: how many there are; a title lies on some in a row, past the last on the first again.
     """
 
-    def __init__(self, terms: Mapping[str, tuple[float, bool]], uplink: float) -> None:
-        self.terms, self.uplink = dict(terms), uplink
-        top = max((importance for importance, _ in self.terms.values()), default=0.0)
+    def __init__(self, terms: Mapping[str, tuple[float, bool]], uplink: float, places: int) -> None:
+        self.terms, self.uplink, self.places = dict(terms), uplink, max(1, places)
+        self.importance = {name: importance for name, (importance, _) in self.terms.items()}
+        top = max(self.importance.values(), default=0.0)
         # a play that was paid for is not given up for one that was not; the dearest product is what room is
         # for
         self.kept = {name for name, (importance, paid) in self.terms.items() if paid or importance >= top}
@@ -114,21 +117,18 @@
         mean = sum(used for used, _ in heard) / links if links else 0.0
         return sum(mean * p.link if p.used is None else p.used for p in places)
 
-    def reckon(self, places: Mapping[str, Place]) -> dict[str, Cost]:
+    def reckon(self, rows: list[Place]) -> dict[str, Cost]:
         """Anew for every site. One walk over nodes and one over classes of titles for each."""
-        rows = list(places.values())
         asked = self.used(rows) * self.spare
         need = {name: part * asked for name, part in self.share().items()}
-        importance = {name: value for name, (value, _) in self.terms.items()}
         self.costs = {}
         for site in sorted({p.site for p in rows}):
             rest = [p for p in rows if p.site != site]
             room = self.room(rest)
-            count = max((p.place for p in rows), default=0) + 1
             holders = Counter(p.place for p in rest)
-            left = [(sum(holders[(first + i) % count] for i in range(min(places_, count))), titles)
-                    for (first, places_), titles in self.cells.items()]
-            self.costs[site] = Cost(parts(need, importance, self.kept, asked - room), asked, room,
+            left = [(sum(holders[(first + i) % self.places] for i in range(min(row, self.places))), titles)
+                    for (first, row), titles in self.cells.items()]
+            self.costs[site] = Cost(parts(need, self.importance, self.kept, asked - room), asked, room,
                                     sum(t for n, t in left if n == 1), sum(t for n, t in left if n == 0))
         return self.costs
 
@@ -160,11 +160,10 @@
 
     def declined(self, product: str) -> None:
         """The module found no room for a play of this product."""
-        found = self.placed()
-        mine = self.plan.terms.get(product, (0.0, False))[0]
-        if found.get(product, 1.0) >= 1 and any(
-                importance < mine and name not in self.plan.kept and found.get(name, 1.0) > 0
-                for name, (importance, _) in self.plan.terms.items()):
+        found, importance = self.placed(), self.plan.importance
+        if found[product] >= 1 and any(
+                importance[name] < importance[product] and name not in self.plan.kept and part > 0
+                for name, part in found.items()):
             self.turned += 1  # something less important is still taken in its place
 
     def room(self, room: float, missing: float) -> None:
@@ -187,8 +186,7 @@
 
     def placed(self) -> dict[str, float]:
         """Of each product the part that there is room for."""
-        importance = {name: value for name, (value, _) in self.plan.terms.items()}
-        return parts(self.plan.share(), importance, self.plan.kept, self.refused)
+        return parts(self.plan.share(), self.plan.importance, self.plan.kept, self.refused)
 
     def parts(self) -> dict[str, float]:
         """Up to what part of a node's room each product is placed; those that are as ever left out."""
--- a/curlewhall/sites/run.py
+++ b/curlewhall/sites/run.py
@@ -40,14 +40,14 @@
         self.timers, self.log, self.peers, self.titles = front.timers, front.log, front.peers, titles
         card = self.driver.card
         self.racks = max(1, card["specifics.shelves"])
-        self.unit, self.uplink = card["specifics.link_unit_kb"], card["specifics.uplink_kb"]
+        self.unit = card["specifics.link_unit_kb"]
         members = self.peers.members
         self.sites = make(self.driver.clock.now(), index, members.members.members if members else (), seed,
                            card["rules.warm_within"])
         if members is not None:
             members.words = self.told
         self.plan = Plan({p["name"]: (p["importance"], p["idempotency"] != "pure")
-                          for p in card["products"]}, self.uplink)
+                          for p in card["products"]}, card["specifics.uplink_kb"], card["specifics.places"])
         ladder, worth = card["specifics.rung_kb"], card["specifics.level_worth"]
         best = max(range(len(ladder)), key=lambda rung: worth[rung] / ladder[rung])
         self.rates = {p["name"]: [rate * card["specifics.class_scale"][i] for rate in ladder]
@@ -133,16 +133,17 @@
 
     # ---- the plan, and what is refused by it
 
-    def places(self) -> dict[str, Place]:
+    def places(self) -> list[Place]:
+        """The nodes that may have plays."""
         now, hidden = self.driver.clock.now(), self.hidden
-        found = {}
+        found = []
         for name, row in self.rows.items():
             if name in hidden or row.state != "serving":
                 continue
             full, at = self.reports.get(name, (0.0, -HEARD))
             link = max(1.0, row.weight * self.unit)
-            found[name] = Place(self.site(row), row.place % self.racks, row.place, link,
-                                full * link if now - at < HEARD else None)
+            found.append(Place(self.site(row), row.place % self.racks, row.place % self.plan.places, link,
+                               full * link if now - at < HEARD else None))
         return found
 
     def tick(self) -> None:
@@ -176,7 +177,7 @@
 
     def look_at_room(self, now: int) -> None:
         """What the nodes that may have plays bear, and how much of it is used."""
-        places = list(self.places().values())
+        places = self.places()
         room = self.plan.room(places)
         self.shedding.room(room, self.sites.missing())
         heard = room > 0 and any(place.used is not None for place in places)
--- a/tests/sites/test_plan.py
+++ b/tests/sites/test_plan.py
@@ -11,13 +11,13 @@
 
 
 def fleet(used=500.0, sites="ab", each=4, link=1000.0):
-    return {f"{site}{i}": Place(site, i % 2 if site == "a" else 2 + i % 2, i, link, used)
-            for site in sites for i in range(each)}
+    return [Place(site, i % 2 if site == "a" else 2 + i % 2, i, link, used)
+            for site in sites for i in range(each)]
 
 
-def plan(uplink=0.0, **mix):
-    made = Plan(TERMS, uplink)
-    made.held(mix or {"cheap": 50.0, "dear": 30.0, "paid": 20.0}, 100.0)
+def plan(uplink=0.0, places=3):
+    made = Plan(TERMS, uplink, places)
+    made.held({"cheap": 50.0, "dear": 30.0, "paid": 20.0}, 100.0)
     return made
 
 
@@ -62,12 +62,12 @@
 
 def test_unheard_nodes_count_as_the_others_do():
     places = fleet(400.0)
-    places["a0"] = places["a0"]._replace(used=None)
+    places[0] = places[0]._replace(used=None)
     assert plan().reckon(places)["b"].asked == pytest.approx(3200)
 
 
 def test_titles_that_a_loss_would_leave_with_one_holder_or_none():
-    places = {f"{site}{i}": Place(site, 0, i, 1.0, 0.0) for site, i in (("a", 0), ("b", 1), ("b", 2))}
+    places = [Place(site, 0, i, 1.0, 0.0) for site, i in (("a", 0), ("b", 1), ("b", 2))]
     made = plan()
     made.titles([(0, 1)] * 5 + [(0, 2)] * 3 + [(1, 2)] * 2)
     costs = made.reckon(places)
@@ -75,6 +75,17 @@
     assert (costs["b"].none, costs["b"].single) == (2, 8)
 
 
+def test_a_row_of_places_goes_round_by_their_number_not_by_the_nodes_there_are():
+    """No node lies on the last two of five places: a title on the last and the first has its one holder
+    there.
+    """
+    made = plan(places=5)
+    made.titles([(4, 2)] * 7)
+    costs = made.reckon([Place("a", 0, 1, 1.0, 0.0), Place("b", 1, 0, 1.0, 0.0)])
+    assert (costs["a"].none, costs["a"].single) == (0, 7)
+    assert (costs["b"].none, costs["b"].single) == (7, 0)
+
+
 def test_a_hundred_thousand_titles_are_few_classes():
     made = plan()
     made.titles((i % 97, 3) for i in range(100_000))
@@ -85,7 +96,7 @@
     made = plan()
     shedding = Shedding(made)
     shedding.begin(0, made.reckon(fleet(used))["a"].asked)
-    shedding.room(made.room(p for p in fleet(used).values() if p.site == "b"), 1.0)
+    shedding.room(made.room(p for p in fleet(used) if p.site == "b"), 1.0)
     return shedding
 
 
