--- a/bench/sites_sim.py
+++ b/bench/sites_sim.py
@@ -21,13 +21,13 @@
 from types import SimpleNamespace
 
 from curlewhall.drills.fleet import make_plan, settings
-from curlewhall.front.driver import Clock, Driver
+from curlewhall.front.driver import Clock, Driver, Held
 from curlewhall.front.listing import Follower
 from curlewhall.policy import Front
 from curlewhall.relay.absent import NoMoves
 from curlewhall.settings import parse, rate_card
 from curlewhall.sites.absent import NoSites
-from curlewhall.sites.run import Watch
+from curlewhall.sites.run import Watch, number
 from curlewhall.standins.model import Machine, Rack, unit
 from curlewhall.wire import forms
 
@@ -146,7 +146,7 @@
                     front.driver.sites.heard(node.name, "refused")
                 for peer in [p for p in range(len(self.fronts)) if p != front.index][:2]:
                     front.driver.sites.told(peer, (SimpleNamespace(
-                        index=number_of(zone), state=1, incarnation=0),))
+                        index=number(zone), state=1, incarnation=0),))
 
     def restore(self, zone):
         back = [node for node in self.nodes.values() if node.spec["zone"] == zone]
@@ -155,19 +155,13 @@
         self.list_of(back, "serving")
 
 
-def number_of(zone):
-    from curlewhall.sites.run import number
-
-    return number(zone)
-
-
 class Node:
     """A node's machine with what plays on it."""
 
     def __init__(self, world, spec):
         self.world, self.spec, self.name, self.up, self.started_ms = world, spec, spec["node"], True, 0
         self.machine = self.make(True)
-        self.plays, self.fronts = {}, Counter()
+        self.plays = {}
         world.after(unit(self.name, "tick"), self.tick)
         world.after(2 * unit(self.name, "load"), self.load)
 
@@ -182,7 +176,7 @@
                          self.started_ms)
 
     def die(self, fell=False):
-        self.up, plays, self.plays, self.fronts = False, self.plays, {}, Counter()
+        self.up, plays, self.plays = False, self.plays, {}
         self.machine.asked = 0.0
         self.machine.rack.nodes[:] = [m for m in self.machine.rack.nodes if m is not self.machine]
         for front in self.world.fronts:
@@ -203,10 +197,7 @@
         self.plays[play] = front, held, who, rate
 
     def end(self, play):
-        front, held, who, rate = self.plays.pop(play)
-        self.machine.asked = max(0.0, self.machine.asked - rate)
-        self.fronts[front] -= 1
-        return front
+        self.machine.asked = max(0.0, self.machine.asked - self.plays.pop(play)[3])
 
     def tick(self):
         self.world.after(1.0, self.tick)
@@ -293,8 +284,6 @@
         facts = forms.Facts(f"f{self.index}-{self.count}", 0, who.product["name"], who.customer, who.name,
                             who.title, 3, who.product["floor"], who.product["floor"])
         now = self.driver.clock.now()
-        from curlewhall.front.driver import Held
-
         self.who[facts.play] = who
         held = Held(facts, title, None, now + 10 * who.product["limit_ms"] - 1000, now)
         self.driver.asked(held, again=who.again, moved=False)
@@ -339,7 +328,6 @@
             return
         who = self.who[held.facts.play]
         node.plays[held.facts.play] = self, held, who, 0.0
-        node.fronts[self] += 1
         node.weigh(held.facts.play, self.rate(held, held.rung))
         self.world.after(who.left, self.seen_enough, node, held.facts.play, who.left, who)
         ask.settle("ok", took, node.report())
--- a/curlewhall/drills/play.py
+++ b/curlewhall/drills/play.py
@@ -19,8 +19,8 @@
 
 
 class Script(NamedTuple):
-    """What happens, and what the drill itself claims: name -> (bound, what makes the value of the
-    records).
+    """What happens, and what the drill itself claims: name -> (bound, what makes the value of counts, figures
+    among them, and records).
     """
 
     steps: list[tuple]
@@ -75,6 +75,7 @@
         rows = records.merged(list(plan["records"].values()))
         broken = judge(rows, terms)
         counts = summary(rows)
+        counts |= script.figures(rows) if script.figures else {}
         claims = {key: {"value": round(value, 4), "bound": bound, "holds": bool(value <= bound)}
                   for key, (bound, of) in script.claims.items() for value in [of(counts, rows)]}
         tally: dict[str, int] = {}
@@ -84,7 +85,7 @@
                   "fronts": day.fronts, "workers": day.workers,
                   "policy": day.policy or "curlewhall.policy:Front",
                   "mover": day.mover or "curlewhall.moves:Mover", "troubles": script.told, **counts,
-                  **(script.figures(rows) if script.figures else {}), "broken": tally, "claims": claims}
+                  "broken": tally, "claims": claims}
         return Result(report, broken)
     finally:
         if day.keep:
--- a/curlewhall/drills/sites.py
+++ b/curlewhall/drills/sites.py
@@ -10,10 +10,11 @@
 from functools import partial
 
 from curlewhall.records import Record
-from curlewhall.rules.judge import fates
+from curlewhall.rules.judge import fates, grouped
 
 from .fleet import add_links
 from .play import Day, Script
+from .start import figure, peak
 
 LOSS = 0.3  # when the site is lost, as a part of the day
 SECOND = 10_000
@@ -29,7 +30,7 @@
     not.
     """
     told = [row for row in rows if row["what"] == "fault" and "site:" in row["at"]]
-    begins = [row["t"] for row in told if row["kind"] not in ("start",) and row["value"]]
+    begins = [row["t"] for row in told if row["kind"] != "start" and row["value"]]
     ends = [row["t"] for row in told if row["kind"] == "start" or not row["value"]]
     last = rows[-1]["t"] if rows else 0
     lost = min(begins, default=last)
@@ -47,15 +48,6 @@
     return found
 
 
-def grouped(rows: list[Record]) -> dict[str, list[Record]]:
-    found: dict[str, list[Record]] = {what: [] for what in ("ask", "answer", "no_answer", "hung_up", "killed",
-                                                            "paused", "woken")}
-    for row in rows:
-        if row["what"] in found:
-            found[row["what"]].append(row)
-    return found
-
-
 def inverted(rows: list[Record], begin: int, end: int) -> tuple[int, int]:
     """Plays declined, and those of them of which a less important one of the same title, so of the same
     holders, was taken within half a second after.
@@ -71,15 +63,6 @@
     return len(declined), bad
 
 
-def peak(times: list[int]) -> int:
-    times, first, most = sorted(times), 0, 0
-    for last, t in enumerate(times):
-        while times[first] <= t - SECOND:
-            first += 1
-        most = max(most, last - first + 1)
-    return most
-
-
 def figures(plan: dict, zone: str, rows: list[Record]) -> dict:
     """Service and refusals after the loss by product, the storm, what still went to the lost site."""
     lost, back = moments(rows)
@@ -115,10 +98,6 @@
     return len(plan["zones"]) - len(met)
 
 
-def figure(plan: dict, zone: str, name: str, counts: dict, rows: list[Record]) -> float:
-    return figures(plan, zone, rows)[name]
-
-
 def loss(rng: random.Random, plan: dict, day: Day, zone: str):
     """Its nodes are killed at once and stay away. Drawn: the list service goes with it, or tells of it late;
     the fronts of that zone go with it.
@@ -174,8 +153,8 @@
 
 
 def back(rng: random.Random, plan: dict, day: Day, zone: str):
-    """Killed, and back cold after some seconds; drawn: half of it; lost again within its return; a second
-    site at the same time where there are three.
+    """Killed, and back cold after some seconds; drawn: half of it; lost again within its return; the list
+    late.
     """
     at = LOSS * day.seconds
     kind = rng.choice(["whole", "half", "again", "late list"]) if day.drawn else "whole"
@@ -199,7 +178,7 @@
     steps, told, bounds = make(rng, plan, day, zone)
     claims = {"unanswered": (0, lambda counts, rows: counts["unanswered"]),
               "shunned": (0, partial(shunned, plan)),
-              **{name: (bound, partial(figure, plan, zone, name)) for name, bound in bounds.items()}}
+              **{name: (bound, partial(figure, name)) for name, bound in bounds.items()}}
     name = next(name for name, made in SITES.items() if made.args[0] is make)
     return Script(steps, claims, [name, zone, *told], partial(figures, plan, zone))
 
--- a/curlewhall/drills/start.py
+++ b/curlewhall/drills/start.py
@@ -164,7 +164,8 @@
 
 
 def figure(name: str, counts: dict, rows: list[Record]) -> float:
-    return figures(rows)[name]
+    """The value of a claim on one of the figures."""
+    return counts[name]
 
 
 STARTS = {f"start-{name}": partial(drill, make) for name, make in (
--- a/curlewhall/sites/decide.py
+++ b/curlewhall/sites/decide.py
@@ -195,19 +195,21 @@
         return out
 
     def when_whole(self, now: int, site: Site, nodes: list[Node]):
-        failing = sum(n.doubtful for n in nodes)
-        if failing < 2 or failing < DOUBT * len(nodes):
+        if not self.half_fails(nodes):
             return []
-        out = self.become(now, site, DOUBTED, f"{failing} of {len(nodes)} nodes fail")
+        out = self.become(now, site, DOUBTED, self.how_many(nodes))
         return out + self.hurry(now) + self.when_doubted(now, site, nodes)
 
     def when_doubted(self, now: int, site: Site, nodes: list[Node]):
         if self.is_lost(now, site, nodes):
             return self.lose(now, site, nodes)
-        failing = sum(n.doubtful for n in nodes)
-        if failing < 2 or failing < DOUBT * len(nodes):
-            return self.become(now, site, WHOLE, f"{failing} of {len(nodes)} nodes fail")
-        return []
+        return [] if self.half_fails(nodes) else self.become(now, site, WHOLE, self.how_many(nodes))
+
+    def half_fails(self, nodes: list[Node]) -> bool:
+        return sum(n.doubtful for n in nodes) >= max(2, DOUBT * len(nodes))
+
+    def how_many(self, nodes: list[Node]) -> str:
+        return f"{sum(n.doubtful for n in nodes)} of {len(nodes)} nodes fail"
 
     def is_lost(self, now: int, site: Site, nodes: list[Node]) -> bool:
         """Whether nobody there can be had, seen often enough, while others can be.
@@ -241,10 +243,10 @@
         A refusal comes from the machine itself, and the list's word from whoever runs it: neither is to be
         had by a front that is only cut off. Silence alone is.
         """
-        if any(not w.dead and now - w.at <= AGE for w in site.words.values()) and not self.seen(now, site):
-            return False
-        proved = sum(n.refused for n in nodes) >= max(2, DOUBT * len(nodes))
-        return self.seen(now, site) or proved
+        if self.seen(now, site):
+            return True
+        against = any(not w.dead and now - w.at <= AGE for w in site.words.values())
+        return not against and sum(n.refused for n in nodes) >= max(2, DOUBT * len(nodes))
 
     def lose(self, now: int, site: Site, nodes: list[Node]):
         again = site.lost_at != NEVER and now - site.since < FORGIVEN
@@ -259,13 +261,12 @@
 
     def when_lost(self, now: int, site: Site, nodes: list[Node]):
         out = []
-        if not site.fleet and self.of_fleet(now, site, nodes):
-            site.fleet = True
-            out.append(("state", site.name, LOST, True, "others have lost it too"))
-        elif site.fleet and not self.of_fleet(now, site, nodes):
+        fleet = self.of_fleet(now, site, nodes)
+        if fleet != site.fleet:
             # Danger: a wrong word must not make the fleet refuse plays for a site that the others use
-            site.fleet = False
-            out.append(("state", site.name, LOST, False, "others can have it"))
+            site.fleet = fleet
+            why = "others have lost it too" if fleet else "others can have it"
+            out.append(("state", site.name, LOST, fleet, why))
         back = [n for n in nodes if n.answered_at > site.lost_at and not n.failing]
         if not back or now - site.lost_at < site.hold:
             return out
