Cold nodes bear the sum of all fronts: the crowd that may come is counted by cell

Seen: fleets of module instances in simulated time, one node just started, against N + 2 root N + 2 in a window (the users' new term; N of 1.07, 5 and 14).

Ruled out: the least share of one each (`max(1, int(...))`): chance lets it through, and holds wherever the crowd is reckoned rightly. The lines at fault: `Front.warming` took the crowd for 2 plays of `len(self.nodes)`, as if titles lay evenly over all nodes and all holders took plays.

--- a/curlewhall/policy.py
+++ b/curlewhall/policy.py
@@ -15,11 +15,9 @@
 
 
 class Changes:
-    """What is added from moment to moment, as running totals: what came since a moment is one subtraction.
-
-    Danger: thousands of plays in one batch or second. Changes of one moment are kept as one, and a question
-    costs a search, not a walk over all that came in the seconds before.
-    """
+    """What is added from moment to moment, as running totals: what came since then is one subtraction."""
+    # Danger: thousands of plays in one batch or second. Changes of one moment are kept as one, and a question
+    # costs a search, not a walk over all that came in the seconds before.
 
     def __init__(self, kept):
         self.kept, self.times, self.totals = kept, [NEVER], [0]
@@ -94,7 +92,7 @@
         self.ladder, self.fronts = rate_card["specifics.rung_kb"], max(1, rate_card["fronts"])
         self.middle, worth = (len(self.ladder) - 1) // 2, rate_card["specifics.level_worth"]
         self.best = max(range(len(worth)), key=lambda r: worth[r] / self.ladder[r])  # worth most for its rate
-        self.plays, self.nodes, self.racks, self.cells = {}, {}, {}, {}
+        self.plays, self.nodes, self.racks, self.cells, self.wants = {}, {}, {}, {}, {}
         kept = max(rate_card["rules.fall"], rate_card.get("rules.look_back", 0))
         self.takes, self.further = Changes(kept), Changes(kept)  # for the budget of further allocations
         self.wakes, self.labels, self.average, self.turn, self.stages = {}, 0, (NEVER, 0), 0, {}
@@ -159,6 +157,8 @@
             self.customers[customer][1].add(now, 1)
         ply = self.take(now, play, product, customer, viewer, title, limit, first_place, places, top_rung)
         self.run(now, ply)
+        for cell in (None, *ply.cells):  # counted after the run: a play by itself tells nothing of the others
+            self.wants.setdefault(cell, Changes(10 * SECOND)).add(now, 1)
         return self.said()
 
     def resumed(self, now, play, product, customer, viewer, title, first_place, places, top_rung, length,
@@ -241,14 +241,11 @@
         return self.said()
 
     def has_room(self, now, play, product, customer, viewer, title, first_place, places, top_rung):
-        """Whether a play under way would get a node if it were moved now; nothing is changed by the question.
-
-        Danger: what is ended first and declined then is a viewer lost. So the same stages are asked.
-        """
-        old, draws = self.plays.get(play), self.draws
+        """Whether a play under way would get a node if it were moved now; the question changes nothing."""
+        # Danger: what is ended first and declined then is a viewer lost. So the same stages are asked.
+        old, draws, limit = self.plays.get(play), self.draws, now + SECOND
         if old:
             old.title = None  # its own seat is free by then
-        limit = now + SECOND
         ply = self.take(now, "", product, customer, viewer, title, limit, first_place, places, top_rung)
         chain = (self.holding, self.streaming, self.warming, self.capping, self.fitting)
         try:
@@ -336,14 +333,22 @@
         warm, window = self.card["rules.warm_within"], self.card["rules.fall"]
         # Three quarters: set-ups differ in work. Half came to one in 3 s and declined plays for nothing.
         pace = 0.75 * self.card["rules.overload_factor"] * self.card["rules.start_capacity"] * window / warm
-        # Danger: one set-up from each of a hundred fronts is a hundred. Where all plays of a window, twice
-        # the even part since two are drawn, are more than a node bears, chance lets them through.
-        crowd = 2 * self.takes.since(now - window) / self.own_part(now) / len(self.nodes)
         ply.nodes = [n for n in ply.nodes if (not n.broken and now - n.cold_from >= warm) or (
                      sum(at > now - window for at in n.starts) < max(1, int(pace * n.streams / self.fronts))
-                     and self.chance(1000) * crowd < 1000 * pace * n.streams)]
+                     and self.chance(1000) * self.crowd(now, n, ply, window) < 1000 * pace * n.streams)]
         return PASS if ply.nodes else self.decline(ply)
 
+    def crowd(self, now, node, ply, window):
+        """How many plays of the whole fleet may come to a node in a window, two drawn of its holders."""
+        # Danger: one set-up from each of a hundred fronts is a hundred; a title that all ask for, its other
+        # holders full, brings them all to one node. Counted by cell; a front sees few, so 10 s are looked at,
+        # two plays added whose titles lie evenly over the cells, one more from the second on: crowds grow.
+        cells, long, came = max(1, self.card["specifics.places"]), 10 * SECOND, self.takes.since(now - window)
+        seen, here = (self.wants[cell].since(now - long) if cell in self.wants else 0
+                      for cell in (None, node.row.place % cells))
+        part = (here + 2 * len(ply.cells) / cells) / (seen + 2) * min(1, 2 / len(ply.nodes))
+        return max(came + (came > 1), seen * window / long) * part / self.own_part(now)
+
     def capping(self, now, ply):
         """The lowest-importance product keeps to this front's slice where the node is above the fraction."""
         part, over = 0.5, self.over_share(now, ply)  # the fraction, to start
@@ -455,11 +460,9 @@
             changes.add(now, kb)
 
     def since(self, now, place, when):
-        """What use of a node or rack has changed by since a report: own changes there, and others' all over.
-
-        Danger: in a surge every front places into the same room before any report tells of it. The others are
-        taken to have placed as this front has, each as much as its part of all plays, over the whole fleet.
-        """
+        """What use of a node or rack has changed by since a report: own changes there, others' all over."""
+        # Danger: in a surge every front places into the same room before any report tells of it. The others
+        # are taken to have placed as this front has, each as much as its part of all, over the whole fleet.
         own, all_over = place.changes.since(when), self.changes.since(when)
         return own + max(0, all_over) * (1 / self.own_part(now) - 1) * place.link / self.links
 
@@ -521,12 +524,10 @@
         return max(self.average[1], 0.95 if now - node.rack.short_at < 3 * SECOND else 0)
 
     def short(self, now, node, delivered):
-        """A note of short delivery: this front's plays there step down one rung, then 2 s of deaf ears.
-
-        Danger: the paper's network never blocks, a rack's uplink does. Unless the node's own link is reported
-        full, all nodes of the rack hear the note at once. Then only so many plays step, dearest in rate for
-        what they lose first, as cover this front's part of the shortage.
-        """
+        """A note of short delivery: this front's plays there step down one rung, then 2 s of deaf ears."""
+        # Danger: the paper's network never blocks, a rack's uplink does. Unless the node's own link is told
+        # full, all nodes of the rack hear the note at once. Then only so many plays step, dearest in rate for
+        # what they lose first, as cover this front's part of the shortage.
         node.short_at = now if delivered < 0.98 else NEVER
         # The 2 s run from when a note could first tell of the last steps: notes tell of a time gone by.
         if delivered >= 0.98 or now - node.eased_at < 2 * SECOND + self.card["specifics.told_late"]:
