A node's start that is told again is the same start: no pacing anew at each list

Seen by reading: `front.nodes.module_row` reckoned a start anew for each list from two clocks (`now - 10 * (unix_ms - started_ms)`, the Unix time in whole milliseconds), so that a start told twice could differ by up to a millisecond. The module takes any later start for a restart (`Front.listed`, `row.started > node.row.started`) and paces that node as cold from then on: after each whole list, or each list repeated, for a node that had started long ago.

Ruled out: one offset for the process's life, as the relay has it: a machine's clock set anew would move all later starts.

Mended: the driver keeps each node's start as it was first reckoned (`Driver.started`).

--- a/curlewhall/daemon/handover.py
+++ b/curlewhall/daemon/handover.py
@@ -314,7 +314,7 @@
         told += [(min(now, at), 1, (name, kind, value)) for at, name, kind, value in self.reports]
         for at, what, fact in sorted(told, key=lambda row: row[:2]):
             if what == 0:
-                driver.hear_of(at, "listed", "changes", [module_row(fact, now, unix)])
+                driver.hear_of(at, "listed", "changes", [module_row(fact, driver)])
             else:
                 driver.hear_of(at, "note", "", 0, *fact)
         driver.moves.listed([row for row in shown if row.state != "gone"], now, unix)
--- a/curlewhall/front/driver.py
+++ b/curlewhall/front/driver.py
@@ -19,6 +19,7 @@
     from curlewhall.wire.server import Exchange
 
 SECOND = 10_000
+STARTS = 10_000  # nodes whose starts are kept: many times a fleet, machines are replaced under new names
 PROVEN = ("full", "unreached", "not_sent")  # endings after which nothing can have run
 
 
@@ -87,6 +88,7 @@
         self.inbox: deque = deque()
         self.busy = False
         self.plays: dict[str, Held] = {}
+        self.starts: dict[str, tuple[int, int]] = {}  # node -> its start: Unix ms, module's time
         self.viewers = self.nodes = self.peers = self.moves = None
         self.keeper, self.sites = NoKeeper(), NoSites()
         self.heir = None  # once this front hands over: what goes on elsewhere is told to it
@@ -135,6 +137,21 @@
     def listed(self, how: str, rows: list[NodeRow]) -> None:
         self.hear("listed", how, rows)
 
+    def started(self, node: str, unix_ms: int) -> int:
+        """A node's start on the module's clock, 1 at least; 0: long past.
+
+        Danger: reckoned anew for each list it would jitter with both clocks, and a start told twice would
+        look like a restart, whose node is paced as cold once more.
+        """
+        if unix_ms <= 0:
+            return 0
+        if self.starts.get(node, (0, 0))[0] != unix_ms:
+            ago = max(0, time.time_ns() // 100_000 - 10 * unix_ms)
+            self.starts[node] = unix_ms, max(1, self.clock.now() - ago)
+            if len(self.starts) > STARTS:
+                del self.starts[next(iter(self.starts))]
+        return self.starts[node][1]
+
     def asked(self, held: Held, again: bool, moved: bool) -> None:
         """A viewer's request was taken; from here on it gets exactly one answer."""
         facts = held.facts
--- a/curlewhall/front/listing.py
+++ b/curlewhall/front/listing.py
@@ -152,12 +152,12 @@
     def tell_module(self, rows: list[forms.Row]) -> None:
         """Tell module and mover of nodes that may get plays now, or not any more; the list is as it was."""
         now, unix = self.driver.clock.now(), int(time.time() * 1000)
-        self.driver.listed("changes", [self.for_module(self.shown(row), now, unix) for row in rows])
+        self.driver.listed("changes", [self.for_module(self.shown(row)) for row in rows])
         self.driver.moves.listed(self.sure(self.rows.values()), now, unix)
         self.look_ready()
 
-    def for_module(self, row: forms.Row, now: int, unix: int):
-        told = module_row(row, now, unix)
+    def for_module(self, row: forms.Row):
+        told = module_row(row, self.driver)
         return told._replace(started=self.driver.sites.cold(row, told.started))
 
     @property
@@ -265,7 +265,7 @@
                 and row.node not in self.belief.unsure]
         now, unix = self.driver.clock.now(), int(time.time() * 1000)
         self.driver.nodes.listed(rows, whole=how != "changes")  # first: the module may allocate at once
-        self.driver.listed(how, [self.for_module(row, now, unix) for row in left])
+        self.driver.listed(how, [self.for_module(row) for row in left])
         self.driver.moves.listed(self.sure(self.rows.values()), now, unix)
         if self.tell is not None:
             self.tell(listing)
--- a/curlewhall/front/nodes.py
+++ b/curlewhall/front/nodes.py
@@ -326,9 +326,7 @@
     return "silent" if reply.ending == "late" else "reset"
 
 
-def module_row(row: forms.Row, now: int, unix_ms: int) -> NodeRow:
+def module_row(row: forms.Row, driver: Driver) -> NodeRow:
     """The list's line on the module's clock; a start in the future is taken for now."""
-    started = 0
-    if row.started_ms:
-        started = max(1, now - 10 * max(0, unix_ms - row.started_ms))
-    return NodeRow(row.node, row.place, row.zone, row.kind, row.state, row.weight, started)
+    return NodeRow(row.node, row.place, row.zone, row.kind, row.state, row.weight,
+                   driver.started(row.node, row.started_ms))
