Channel: one event that can't be read ends nothing; silent watches are seen sooner

Seen, on the stand-in with sockets: an event whose data is no JSON, no object, or nested too deeply kept the front at the number before it for good (it was asked for again without end, and nothing after it was taken); deep nesting raised RecursionError, which nobody caught, and the watch hung until its silence was noticed; whatever was whole in the same piece before a bad event was thrown away with it; a spoilt number far ahead was believed after one more ask, and all that was told under the true numbers passed over from then on.

Lines at fault: `Events.feed` raised in the middle of what it had found; `Channel.told` caught ValueError alone; `Channel.event` knew doubt (`skipped`) for gaps only, and set `cursor` to any number.

Mended: `Events` tells each event for what it is, one that can't be read as `(number, None)`; `Channel.event` asks once more, then passes over it; a number further ahead than the next counts only if the event names it, too.

The stand-in's channel can say any text as an event and start at a port; a raw client and a clock for tests of crossings.

--- a/curlewhall/relay/channel.py
+++ b/curlewhall/relay/channel.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import re
 import time
 from typing import Any
 
@@ -17,54 +18,59 @@
 from .card import address_of
 from .decide import Returns
 
-SILENT = 1.6  # seconds; a comment comes each second, and a stop counts as told after 4
 TRIES = 4  # asks in a row that come to nothing until the module is told that the list has failed
 MOST = 4 << 20  # bytes of one event: a whole list of thousands of nodes is half of that
+NUMBER = re.compile("[0-9]{1,15}")
 STATES = {"ready": "serving", "draining": "draining", "gone": "gone"}
 
 
 class EventUnreadable(Mishap):
     """What came is not of its form."""
 
-    remedy = ("Nothing at once: the front asks again from the last whole event; look at the "
-              "channel if it repeats.")
+    remedy = ("Nothing at once: the front asks again from the last whole event, then does without this one; "
+              "look at the channel if it repeats.")
 
 
 class Events:
-    """Collects (number, data) of whole events from fed bytes (WHATWG HTML, server-sent events)."""
+    """Collects events from fed bytes (WHATWG HTML, server-sent events), as (number, data).
+
+    The number is 0 where it can't be read, and the data None where there is none to be read: an event without
+    a number, or one too long. What follows such an event is taken apart all the same.
+    """
 
     __slots__ = ("data", "number", "lines", "size")
 
     def __init__(self) -> None:
         self.data, self.number, self.lines, self.size = bytearray(), "", [], 0
 
-    def feed(self, piece: bytes) -> list[tuple[int, str]]:
-        """Whole events; `EventUnreadable` for what can't be one, and nothing more is to be fed then."""
+    def feed(self, piece: bytes) -> list[tuple[int, str | None]]:
+        """The events that are whole by now."""
         found = []
         self.data += piece
         *lines, rest = self.data.split(b"\n")
         self.data = bytearray(rest)
-        self.size += len(piece)
-        if self.size > MOST:
-            raise EventUnreadable("an event too long")
         for raw in lines:
             line = bytes(raw).removesuffix(b"\r")
             if not line:
-                if self.lines:
-                    if not self.number.isdigit():
-                        raise EventUnreadable("an event without a number")
-                    found.append((int(self.number), "\n".join(self.lines)))
-                self.lines, self.number, self.size = [], "", len(self.data)
+                if self.lines or self.size > MOST:
+                    found.append(self.event())
+                self.lines, self.number, self.size = [], "", 0
             elif not line.startswith(b":"):
+                self.size += len(line)
                 name, _, value = line.decode("utf-8", "replace").partition(":")
                 if name == "id":
                     self.number = value.removeprefix(" ")
-                elif name == "data":
+                elif name == "data" and self.size <= MOST:
                     self.lines.append(value.removeprefix(" "))
-            elif not self.lines:
-                self.size = len(self.data)
+        if self.size + len(self.data) > MOST:
+            # Danger: memory. Nothing of it is kept, and at its end it is known for one that was too long.
+            self.size, self.data, self.lines = MOST + 1, self.data[:1], []
         return found
 
+    def event(self) -> tuple[int, str | None]:
+        number = int(self.number) if NUMBER.fullmatch(self.number) else 0
+        return number, "\n".join(self.lines) if number and self.size <= MOST else None
+
 
 def rows_of(members: list, offset: int) -> tuple[list[tuple[NodeRow, tuple[str, int]]], int]:
     """Rows and addresses of a list, and how many of its lines can't be read.
@@ -83,7 +89,7 @@
             if not 0 <= weight < 1e9 or row.place < 0:
                 raise ValueError(f"a weight or place out of range: {row}")
             rows.append((row, address))
-        except (KeyError, TypeError, ValueError, AttributeError, OverflowError):
+        except (KeyError, TypeError, ValueError, AttributeError, OverflowError, RecursionError):
             wrong += 1
     return rows, wrong
 
@@ -97,7 +103,8 @@
         self.cursor, self.tries, self.address = 0, 0, address
         self.pool: Pool | None = None
         self.events, self.stream, self.silence, self.pause, self.turn = Events(), None, None, None, None
-        self.skipped = self.failing = self.closed = False
+        self.failing = self.closed = self.breaking = False
+        self.doubted = -1  # the number after which something was wrong, and was asked for once more
         self.since = 0.0  # when the stream first told something; 0: not yet
         card = driver.card
         self.returns = Returns(seed, card.get("rules.drain_grace", 0) / SECOND, card.get("fronts", 1))
@@ -137,47 +144,69 @@
         self.pause = None
         if self.pool is None:
             self.pool = Pool(self.loop, self.timers, *self.address, connect=0.5)
-        self.events, self.since = Events(), 0.0
+        self.events, self.since, self.breaking = Events(), 0.0, False
         data = request_bytes("GET", "/cmd/next", self.pool.host, last_event_id=str(self.cursor),
                              accept="text/event-stream")
         pool = self.pool
         self.stream = pool.ask(data, 86_400.0, lambda reply: self.ended(pool, reply), tell=self.told)
         self.listen()
 
-    def listen(self) -> None:
+    def listen(self, spoken: bool = False) -> None:
         if self.silence is not None:
             self.silence.cancel()
-        self.silence = self.timers.after(SILENT, self.stream.withdraw)
-
-    def again(self) -> None:
-        """Break the stream off, from outside of its own call."""
-        self.timers.after(0, self.stream.withdraw)
+        self.silence = self.timers.after(self.returns.patience(spoken), self.stream.withdraw)
 
     def told(self, message, piece: bytes) -> None:
-        if message.status != 200:
+        if message.status != 200 or self.breaking:
             return
-        self.listen()
+        self.listen(spoken=True)
         self.since = self.since or time.monotonic()
+        for number, data in self.events.feed(piece):
+            if not self.event(number, data):
+                self.breaking = True  # off, from outside of its own call; what still comes of it is not taken
+                self.timers.after(0, self.stream.withdraw)
+                return
+
+    def event(self, number: int, data: str | None) -> bool:
+        """Take an event; False: the channel is to be asked again, from the last one that was taken.
+
+        Danger: one that can't be read at all, and comes again so, must not keep away what follows it. It is
+        asked for once more, in case it was spoilt on its way; after that it is passed over.
+        """
+        command, why = None, "a gap"
+        try:
+            command = self.read(data)
+            self.tries = 0
+            self.returns.heard()
+        except EventUnreadable as err:
+            why = err
+        if number and number <= self.cursor:
+            return True  # told twice
+        if command is None or number > self.cursor + 1:
+            self.log.warning("the channel can't be read", why=why, have=self.cursor, came=number,
+                             again=self.doubted == self.cursor)
+            if self.doubted != self.cursor:
+                self.doubted = self.cursor
+                return False
+        # a number far ahead that the event itself doesn't bear out would pass over all that follow it
+        if number == self.cursor + 1 or command is not None and command.get("cursor", number) == number:
+            self.cursor = number
+        self.failing = False
+        if command is not None:
+            self.command(command)
+        return True
+
+    def read(self, data: str | None) -> dict:
+        """What an event holds."""
+        if data is None:
+            raise EventUnreadable("an event without a number, or too long")
         try:
-            for number, data in self.events.feed(piece):
-                self.event(number, data)
-        except (EventUnreadable, ValueError) as err:
-            self.log.warning("the channel can't be read", why=err)
-            self.again()
-
-    def event(self, number: int, data: str) -> None:
-        self.tries = 0
-        self.returns.heard()
-        if number <= self.cursor:
-            return  # told twice
-        command = json.loads(data)
-        if number > self.cursor + 1 and not self.skipped:
-            # Danger: a change built on one never seen. Asked for again once; what is missing then is lost.
-            self.log.warning("a gap in the channel", have=self.cursor, came=number)
-            self.skipped = True
-            raise EventUnreadable("a gap")
-        self.cursor, self.skipped, self.failing = number, False, False
-        self.command(command)
+            command = json.loads(data)
+        except (ValueError, RecursionError) as err:
+            raise EventUnreadable(f"not JSON: {err}") from None
+        if not isinstance(command, dict):
+            raise EventUnreadable("no JSON object")
+        return command
 
     def ended(self, pool: Pool, reply: Reply) -> None:
         if pool is not self.pool or self.closed:
--- a/curlewhall/standins/platform.py
+++ b/curlewhall/standins/platform.py
@@ -45,7 +45,8 @@
         self.standing: dict[str, object] = {}
         self.untold: dict[str, int] = {}  # ends that nobody has heard: told again on the next connection
         self.out: dict[str, object] = {}
-        self.report = "cpu:0.25;x1:0.5"
+        self.came: dict[str, object] = {}  # session -> the connection of its latest set-up
+        self.report, self.hears = "cpu:0.25;x1:0.5", True  # hears: it says of a TEARDOWN that it heard it
 
     async def start(self, port: int = 0) -> None:
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", port)
@@ -83,14 +84,15 @@
         session = message.session
         if message.method == "SETUP":
             self.say("set-up", session, (message.fields["subject"], int(message.fields.get("x-rung", 0))))
-            self.out[session] = writer
+            self.out[session] = self.came[session] = writer
             self.do(self.turn(), writer, session, message.body)
         elif message.method == "TEARDOWN":
             cut = "reason" in message.fields
             self.say("cut" if cut else "given up", session, message.cause())
             self.out.pop(session, None)
             self.standing.pop(session, None)
-            writer.write(rtsp.response(200, "OK", message))
+            if self.hears:
+                writer.write(rtsp.response(200, "OK", message))
         elif not message.method:
             self.untold.pop(session, None)
         elif message.method == "OPTIONS":
@@ -132,12 +134,11 @@
             abort(writer)
 
     def cross(self, session: str) -> None:
-        """Answer a set-up late, as if it had crossed its TEARDOWN."""
-        for writer in self.lines:
-            writer.write(self.answer(200, session, b"too late"))
-            self.standing[session] = writer
-            self.say("answered", session, b"too late")
-            return
+        """Answer a set-up late, on its own connection, as if it had crossed its TEARDOWN."""
+        writer = self.came[session]
+        writer.write(self.answer(200, session, b"too late"))
+        self.standing[session] = writer
+        self.say("answered", session, b"too late")
 
     def end(self, session: str, cause: int) -> None:
         """A session comes to its end here."""
@@ -176,8 +177,8 @@
         self.lines, self.calls, self.held, self.server = [], [], False, None
         self.when = lambda: None  # called as each call comes
 
-    async def start(self) -> None:
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+    async def start(self, port: int = 0) -> None:
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", port)
         self.port = self.server.sockets[0].getsockname()[1]
 
     async def serve(self, reader, writer) -> None:
@@ -198,9 +199,11 @@
         return f"id: {number}\ndata: {data}\n\n".encode()
 
     def tell(self, number: int, members: list[dict], complete: bool = False, torn: int = 0,
-             twice: bool = False) -> None:
-        """An event to all who listen; `torn`: only so many bytes of it, and then the end."""
-        data = json.dumps({"cursor": number, "nodes": {"complete": complete, "members": members}})
+             twice: bool = False, raw: str = "") -> None:
+        """An event to all who listen; `torn`: only so many bytes of it, and then the end; `raw`: this as its
+        data.
+        """
+        data = raw or json.dumps({"cursor": number, "nodes": {"complete": complete, "members": members}})
         self.events.append((number, data))
         raw = self.event(number, data) * (2 if twice else 1)
         for writer in self.lines:
@@ -214,7 +217,8 @@
             writer.close()
 
     def close(self) -> None:
-        self.server.close()
+        if self.server is not None:
+            self.server.close()
         self.hang_up()
 
 
--- a/tests/relay/town.py
+++ b/tests/relay/town.py
@@ -4,13 +4,15 @@
 import contextlib
 import json
 import socket
+import time
 
 from test_simhost import CONFIG
 
+from curlewhall.codecs import messages
 from curlewhall.relay import card
 from curlewhall.relay.absent import Log
 from curlewhall.relay.serve import Relay
-from curlewhall.standins.platform import Platform
+from curlewhall.standins.platform import RST, Platform
 
 
 def free_port():
@@ -32,12 +34,75 @@
     return whole
 
 
+class Clock:
+    """Stands still until it is advanced; all timers of the relay go by it. For `time.monotonic`."""
+
+    def __init__(self):
+        self.now = time.monotonic()
+
+    def __call__(self):
+        return self.now
+
+
+class Client:
+    """A raw client: what it does is done when the call returns, and the relay has seen nothing of it yet."""
+
+    def __init__(self, place):
+        self.place, self.reader, self.heard = place, messages.Reader(), []
+        self.sock = socket.create_connection(("127.0.0.1", place.port))
+
+    def ask(self, session="", product="cheap", patience="3000", **figures):
+        session = session or self.place.platform.name()
+        self.say(set_up(session, product, patience, **figures))
+        return session
+
+    def release(self, session):
+        self.say(messages.message(messages.RELEASE, session, cause=b"\x10"))
+
+    def say(self, raw):
+        self.sock.sendall(raw)
+
+    def close(self, how="close"):
+        if how == "half-close":
+            self.sock.shutdown(socket.SHUT_WR)
+            return
+        if how == "reset":
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RST)
+        self.sock.close()
+
+    def closed(self):
+        """Whether the relay has closed by now; what it said before is read."""
+        self.sock.setblocking(False)
+        try:
+            while piece := self.sock.recv(65536):
+                self.heard += self.reader.feed(piece)
+            return True
+        except BlockingIOError:
+            return False
+        except ConnectionError:
+            return True
+
+    def answers(self, session):
+        """What came for a session: its answers, not what a release is answered with."""
+        self.closed()
+        ends = messages.ANSWER, messages.RELEASE
+        return [m for m in self.heard if m.session == session and m.kind in ends]
+
+
+def set_up(session, product="cheap", patience="3000", description=b"d", **figures):
+    """A whole set-up, as bytes."""
+    figures = {"home": 0, "copies": 4, "top": 3, "viewer": session} | figures
+    text = ";".join(f"{key}:{value}" for key, value in figures.items())
+    return messages.message(messages.SET_UP, session, product=product.encode(), title=b"00000000000000aa",
+                            patience=patience.encode(), figures=text.encode(), description=description)
+
+
 class Town:
-    """`relay` on `port`; `platform` around it."""
+    """`relay` on `port`; `platform` around it. `clock`: a clock that stands still, see `advance`."""
 
-    def __init__(self, nodes=("n0", "n1", "n2", "n3"), does="serve", **changes):
+    def __init__(self, nodes=("n0", "n1", "n2", "n3"), does="serve", clock=None, **changes):
         self.platform, self.changes, self.does, self.names = Platform(), changes, does, nodes
-        self.lines = []
+        self.lines, self.clock = [], clock
 
     def config(self, port, sockets=256):
         members = [self.platform.member(name) for name in self.platform.nodes]
@@ -56,6 +121,9 @@
         self.file.write_text(json.dumps(self.config(self.port, sockets)))
         given = card.read({"RELAY_CONFIG": str(self.file), "RELAY_LISTEN": f"127.0.0.1:{self.port}"})
         self.relay = Relay(given, Log(self))
+        if self.clock is not None:
+            self.relay.driver.clock.source = self.clock
+            self.relay.timers.arm = lambda due: None  # they ring in `advance` alone
         self.relay.driver.module.chance = lambda below: 0  # the first holder; cold nodes let plays through
         for node in self.relay.driver.module.nodes.values():
             node.cold_from = float("-inf")
@@ -73,6 +141,25 @@
             while not true():
                 await asyncio.sleep(0.005)
 
+    async def settle(self):
+        """Let all that lies on the sockets of this loop be read and answered."""
+        for _ in range(12):  # more than the turns of a way there and back, over streams' own tasks
+            await asyncio.sleep(0)
+
+    async def advance(self, span):
+        """Let the clock go on, and every timer of the relay ring at its time."""
+        timers, until = self.relay.timers, self.clock.now + span
+        await self.settle()
+        while timers.heap and timers.heap[0][0] <= until:
+            self.clock.now = max(self.clock.now, timers.heap[0][0])
+            timers.ring()
+            await self.settle()
+        self.clock.now = until
+
+    def sent(self, session=None):
+        """Set-ups that came to nodes: node and session."""
+        return [(row[0], row[2]) for row in self.platform.of("set-up", session) if row[0] != "viewer"]
+
     def close(self):
         self.relay.close()
         self.platform.close()
