--- a/curlewhall/front/driver.py
+++ b/curlewhall/front/driver.py
@@ -61,18 +61,27 @@
 
     def __init__(self, driver: "Driver", held: Held, number: int, node: str, until: int) -> None:
         self.driver, self.held, self.number, self.node, self.until = driver, held, number, node, until
+        self.listed = driver.listing.get(node)
 
     def go(self, sure: bool) -> None:
-        """Send it, unless it was withdrawn meanwhile, or is not surely kept."""
+        """Send it, unless it was withdrawn meanwhile, or is not surely kept.
+
+        Danger: the disk, or a busy core, takes its time. A viewer who has hung up by now wants nothing more,
+        and a node that drains or has started anew since is not the one that was chosen.
+        """
         held, driver = self.held, self.driver
         if held.out.get(self.number) is not self:
             return
-        span = self.until - driver.clock.now()
-        ask = driver.nodes.set_up(held, self.number, self.node, span / SECOND) if sure and span > 0 else None
-        if ask is None:
+        if held.exchange is not None and held.exchange.hung_up():
+            driver.left(held)
+            return
+        span, same = self.until - driver.clock.now(), driver.listing.get(self.node) == self.listed
+        going = driver.nodes.set_up(held, self.number, self.node, span / SECOND) \
+            if sure and same and span > 0 else None
+        if going is None:
             self.withdraw()
         else:
-            held.out[self.number] = ask
+            held.out[self.number] = going
 
     def withdraw(self) -> None:
         """Nothing went out."""
@@ -88,6 +97,7 @@
         self.inbox: deque = deque()
         self.busy = False
         self.plays: dict[str, Held] = {}
+        self.listing: dict[str, tuple[str, int]] = {}  # node -> its state and latest start, as last told
         self.starts: dict[str, tuple[int, int]] = {}  # node -> its start: Unix ms, module's time
         self.viewers = self.nodes = self.peers = self.moves = None
         self.keeper, self.sites = NoKeeper(), NoSites()
@@ -135,6 +145,12 @@
             self.busy = False
 
     def listed(self, how: str, rows: list[NodeRow]) -> None:
+        if how in ("whole", "old_copy"):
+            self.listing.clear()
+        for row in rows:
+            self.listing[row.node] = row.state, row.started
+            if row.state == "gone":
+                del self.listing[row.node]
         self.hear("listed", how, rows)
 
     def started(self, node: str, unix_ms: int) -> int:
--- a/curlewhall/front/nodes.py
+++ b/curlewhall/front/nodes.py
@@ -105,10 +105,16 @@
             self.follow(node)  # what it says of the play is wanted from now on
         body = forms.encode(forms.SetUp(self.front, facts, span * 1000))
         data = request_bytes("POST", "/v1/plays", node.pool.host, body, content_type="application/json")
-        # Danger: a connection may take its time; a drain told meanwhile, or a viewer gone, stops the set-up.
-        was = node.row.state
+        # Danger: a connection may take its time; a drain or start told meanwhile, or a viewer gone, stops
+        # the set-up. A viewer that has yet to come for a move's outcome has no exchange.
+        was = node.row.state, node.row.started_ms
+
+        def may() -> bool:
+            here = held.exchange is None or not held.exchange.hung_up()
+            return here and (node.row.state, node.row.started_ms) == was and not held.closed
+
         return node.pool.ask(data, max(0.0, span), lambda reply: self.set_up_done(held, number, name, reply),
-                             may=lambda: node.row.state == was and not held.closed)
+                             may=may)
 
     def set_up_done(self, held: Held, number: int, name: str, reply: Reply) -> None:
         how, report = reply.ending, {}
--- a/curlewhall/relay/__main__.py
+++ b/curlewhall/relay/__main__.py
@@ -3,8 +3,8 @@
 import signal
 import sys
 
-# before anything that takes time to load: a configuration replaced meanwhile is the one that will be read
-signal.signal(signal.SIGHUP, signal.SIG_IGN)
+# Danger: a signal that comes while the program is loaded would end it. They wait until they can be heard.
+signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP, signal.SIGTERM, signal.SIGINT))
 
 from curlewhall.relay.serve import main  # noqa: E402
 
--- a/curlewhall/relay/nodes.py
+++ b/curlewhall/relay/nodes.py
@@ -23,22 +23,27 @@
 MOVED = 0.5  # seconds for the end of a session that was moved, which comes from its node by itself
 EACH = 8  # connections to one node at most; set-ups out at one node at a time are fewer by far
 UNSAID = 64  # messages kept for a node that is out of reach
+SPENT = 256  # set-ups that failed on a connection until it gets no more: far more than fail in its usual life
+TORN = 0.05  # seconds in which the rest of an answer comes, once it has begun
 NOTES = {"got": "delivered", "level": "rung", "port": "link_asked", "spine": "uplink_asked"}
 REFUSALS = {453: "full", 454: "not_sent", 504: "broken"}  # else: an error
 ENDS = {16: "ok", 31: "withdrawn"}  # else: broken
 CUT, LOST = 31, 41  # causes: ended by a front; broken off
+WAITING, SENT, SETTLED = "waiting", "sent", "settled"
 
 
-class Ask:
-    """A set-up on its way to a node, or out there."""
+class SetUp:
+    """A set-up on its way to a node. Its states: `WAITING` for a connection, or for the end of an earlier one
+    of the same play there; `SENT`; `SETTLED`, once, in one of the endings of `curlewhall.interface`.
+    """
 
-    __slots__ = ("nodes", "node", "held", "number", "road", "sent", "began", "span", "limit", "settled",
-                 "state", "tries")
+    __slots__ = ("nodes", "node", "held", "number", "connection", "state", "began", "span", "limit", "stamp",
+                 "tries", "waited")
 
     def __init__(self, nodes: "Nodes", node: "Node", held: Held, number: int, span: float) -> None:
         self.nodes, self.node, self.held, self.number, self.span = nodes, node, held, number, span
-        self.began, self.road, self.sent, self.settled, self.tries = time.monotonic(), None, False, False, 0
-        self.state = node.row.state
+        self.began, self.connection, self.state, self.tries = time.monotonic(), None, WAITING, 0
+        self.stamp, self.waited = node.stamp, False
         self.limit = nodes.timers.after(span, self.stop, "late")
 
     @property
@@ -50,43 +55,63 @@
         self.stop("withdrawn")
 
     def stop(self, how: str) -> None:
-        if self.settled:
+        if self.state == SETTLED:
             return
-        if self.sent:
+        connection, sent = self.connection, self.state == SENT
+        if sent:
             self.nodes.give_up(self)
-        self.settle(how if self.sent else "not_sent", {})
+        self.settle(how if sent else "not_sent", {})
+        if sent and connection.reader.data and time.monotonic() - connection.heard > TORN:
+            # Danger: an answer that broke off would be gone on with by the next one.
+            connection.line.end("spoilt")
 
     def settle(self, how: str, report: dict) -> None:
-        if self.settled:
+        if self.state == SETTLED:
             return
-        self.settled = True
+        sent, self.state = self.state == SENT, SETTLED
         self.limit.cancel()
         if how == "late":
             self.nodes.silences.doubt(self.node.row.zone, time.monotonic())
-        if self.road is not None:
-            self.road.asks.pop(self.play, None)
-            self.road.used = time.monotonic()
+        if self.connection is not None:
+            self.connection.released(self.play, sent and how != "ok")
         self.nodes.driver.set_up_ended(self.held, self.number, self.node.id, how,
                                        time.monotonic() - self.began, report)
 
 
-class Road:
+class Connection:
     """One connection to a node."""
 
-    __slots__ = ("line", "node", "reader", "asks", "given", "probes", "heard", "used", "tired", "limit")
+    __slots__ = ("line", "node", "reader", "set_ups", "spent", "probes", "heard", "used", "tired",
+                 "limit")
 
     def __init__(self, node: "Node") -> None:
         self.node, self.reader = node, rtsp.Reader()
-        self.asks: dict[str, Ask] = {}  # open on it, or waiting for it to come up
-        self.given: dict[str, None] = {}  # given up; an answer may cross
+        self.set_ups: dict[str, SetUp] = {}  # open on it, or waiting for it to come up
+        self.spent: dict[str, bool] = {}  # plays whose set-ups failed here -> given up: an answer may cross
         self.probes: dict[str, float] = {}
         self.heard = self.used = time.monotonic()
-        self.tired, self.limit, self.line = False, None, None
+        self.tired, self.limit, self.line = False, None, None  # tired: gets no set-up any more
 
     @property
     def idle(self) -> bool:
         """Whether nothing is waited for on it."""
-        return not self.asks and not self.probes
+        return not self.set_ups and not self.probes
+
+    def takes(self, play: str) -> bool:
+        """Whether a set-up of this play may go out on it.
+
+        Danger: an answer names session and `CSeq` alone. A late copy of the answer to an earlier set-up of
+        the play would be taken for that to the next; one that broke off would be gone on with.
+        """
+        return not self.tired and play not in self.spent and not self.reader.data
+
+    def released(self, play: str, failed: bool) -> None:
+        """A set-up is over here."""
+        self.set_ups.pop(play, None)
+        self.used = time.monotonic()
+        if failed:
+            self.spent.setdefault(play, False)
+            self.tired = self.tired or len(self.spent) > SPENT
 
 
 class Node:
@@ -94,15 +119,22 @@
 
     def __init__(self, row: NodeRow, address: tuple[str, int]) -> None:
         self.id, self.row, self.address = row.node, row, address
-        self.roads: list[Road] = []
+        self.connections: list[Connection] = []
         self.standing: dict[str, int] = {}  # session -> when it began, on the module's clock
         self.moved: dict[str, object] = {}  # session moved -> when it is cut, if nothing was heard of its end
         self.unsaid: list[bytes] = []
+        self.ending: dict[str, tuple[int, float]] = {}  # session -> TEARDOWNs not heard of; the last
+        self.behind: dict[str, SetUp] = {}  # session -> a set-up that waits for them
         self.missed, self.pause, self.heard = 0, None, time.monotonic()
 
-    def open_roads(self) -> list[Road]:
-        """Connections that are up and trusted, the latest heard of first."""
-        return sorted((r for r in self.roads if r.line.open and not r.tired), key=lambda r: -r.heard)
+    @property
+    def stamp(self) -> tuple:
+        """What must be as it was while a set-up waits: a drain may be told, or a process start anew."""
+        return self.row.state, self.row.started, self.address
+
+    def open_connections(self) -> list[Connection]:
+        """Those that are up and trusted, the latest heard of first."""
+        return sorted((c for c in self.connections if c.line.open and not c.tired), key=lambda c: -c.heard)
 
 
 class Nodes:
@@ -111,7 +143,7 @@
     def __init__(self, driver: Driver, loop, timers, most: int, log, seed: int) -> None:
         self.driver, self.loop, self.timers, self.most, self.log = driver, loop, timers, most, log
         self.nodes: dict[str, Node] = {}
-        self.roads: dict[Line, Road] = {}
+        self.connections: dict[Line, Connection] = {}
         self.connect_limit = driver.card["permissions.connect_timeout"] / SECOND
         self.streams = max(1, int(driver.card.get("permissions.streams_per_conn", 1)))
         self.probes, self.seed = 0, seed & 0xFFFFFFFF
@@ -148,129 +180,146 @@
 
     def left(self, node: Node) -> None:
         """A node is gone and has had time for its last words."""
-        if self.nodes.get(node.id) is node and node.row.state == "gone":
+        if self.lists(node) and node.row.state == "gone":
+            # Danger: out of the table first. What its connections' ends start anew would open others to it,
+            # and nothing would ever close those.
+            del self.nodes[node.id]
             self.lost(node)
             self.shut(node)
-            del self.nodes[node.id]
+
+    def lists(self, node: Node) -> bool:
+        return self.nodes.get(node.id) is node
 
     def lost(self, node: Node) -> None:
         for play in list(node.standing):
             self.over(node, play, "broken", LOST)
 
     def shut(self, node: Node) -> None:
-        for road in list(node.roads):
-            road.line.end("reset")
+        for connection in list(node.connections):
+            connection.line.end("reset")
 
     # ---- connections
 
-    def road(self, node: Node) -> Road | None:
+    def open(self, node: Node) -> Connection | None:
         """A new connection on its way; None where no more may be had."""
-        if len(self.roads) >= self.most and not self.make_room():
+        if not self.lists(node) or len(self.connections) >= self.most and not self.make_room():
             return None
-        road = Road(node)
+        connection = Connection(node)
         try:
-            road.line = connect(self.loop, node.address, self)
+            connection.line = connect(self.loop, node.address, self)
         except OSError as err:
             self.log.warning("no connection", node=node.id, why=err.strerror)
             return None
-        road.limit = self.timers.after(self.connect_limit, road.line.end, "unreached")
-        self.roads[road.line] = road
-        node.roads.append(road)
-        return road
+        connection.limit = self.timers.after(self.connect_limit, connection.line.end, "unreached")
+        self.connections[connection.line] = connection
+        node.connections.append(connection)
+        return connection
 
     def make_room(self) -> bool:
-        free = [r for r in self.roads.values() if r.idle]
-        spare = [r for r in free if len(r.node.roads) > 1 or not r.node.standing] or free
-        if not spare:
-            return False
-        self.close(min(spare, key=lambda r: r.used))
-        return True
+        free = [c for c in self.connections.values() if c.idle]
+        spare = [c for c in free if len(c.node.connections) > 1 or not c.node.standing] or free
+        return any(self.retire(c) for c in sorted(spare, key=lambda c: c.used))
 
-    def pick(self, node: Node) -> Road | None:
+    def pick(self, node: Node, play: str) -> Connection | None:
         """The connection for a set-up: an idle one, else a new one, else the one with the fewest open."""
-        for road in node.open_roads():
-            if road.asks:
+        for connection in node.open_connections():
+            if connection.set_ups or not connection.takes(play):
                 continue
-            if not road.line.dead():
-                return road
-            self.loop.call_soon(road.line.readable)
-            road.tired = True
+            if not connection.line.dead():
+                return connection
+            self.loop.call_soon(connection.line.readable)
+            connection.tired = True
         most = max(1, min(EACH, self.most // max(1, len(self.nodes))))
-        if len(node.roads) < most:
-            road = self.road(node)
-            if road is not None:
-                return road
-        shared = [r for r in node.roads if not r.tired and len(r.asks) < self.streams]
-        return min(shared, key=lambda r: len(r.asks), default=None)
+        if len(node.connections) < most:
+            connection = self.open(node)
+            if connection is not None:
+                return connection
+        shared = [c for c in node.connections if c.takes(play) and len(c.set_ups) < self.streams]
+        return min(shared, key=lambda c: len(c.set_ups), default=None)
 
     def opened(self, line: Line) -> None:
-        road = self.roads[line]
-        road.limit.cancel()
-        node, now = road.node, time.monotonic()
-        road.heard = node.heard = now
+        connection = self.connections[line]
+        connection.limit.cancel()
+        node, now = connection.node, time.monotonic()
+        connection.heard = node.heard = now
         node.missed = 0
-        unsaid, node.unsaid = node.unsaid, []
-        for data in unsaid:
-            line.send(data)
-        for ask in list(road.asks.values()):
-            self.go(ask, road)
-        for quiet in [r for r in node.roads if r is not road and r.idle and now - r.heard > QUIET]:
-            self.close(quiet)  # it may be dead without a word; this one lives
+        while node.unsaid and line.send(node.unsaid[0]):
+            node.unsaid.pop(0)
+        for session in connection.probes:
+            line.send(probe(session))
+        for set_up in list(connection.set_ups.values()):
+            self.go(set_up, connection)
+        for quiet in [c for c in node.connections if c is not connection and now - c.heard > QUIET]:
+            self.retire(quiet)  # it may be dead without a word; this one lives
 
     def ended(self, line: Line, why: str) -> None:
         """A connection is gone. What was never handed to it may go by another; the rest may have run."""
-        road = self.roads.pop(line, None)
-        if road is None:
+        connection = self.connections.pop(line, None)
+        if connection is None:
             return
-        node = road.node
-        node.roads.remove(road)
-        road.limit.cancel()
-        came_up = line.reading
-        if not came_up:
+        node, torn = connection.node, bool(connection.reader.data)
+        node.connections.remove(connection)
+        connection.limit.cancel()
+        if not line.came_up:
             node.missed += 1
         if why == "unreached":
             self.silences.doubt(node.row.zone, time.monotonic())
-        for name in list(road.probes):
-            self.probe_ended(road, name, "unreached" if not came_up else "broken", {})
-        for ask in list(road.asks.values()):
-            road.asks.pop(ask.play, None)
-            ask.road = None
-            if ask.sent:
-                if why == "spoilt":
-                    self.cut(node, ask.play)
-                ask.settle("error" if why == "spoilt" else "broken", {})
-            elif came_up and not ask.tries:
-                ask.tries += 1  # nothing was handed over: another connection may be the better one
-                self.start(ask)
+        for name in list(connection.probes):
+            self.probe_ended(connection, name, "broken" if line.came_up else "unreached", {})
+        for set_up in list(connection.set_ups.values()):
+            connection.set_ups.pop(set_up.play, None)
+            set_up.connection = None
+            if set_up.state == SENT:
+                if why == "spoilt" or torn:
+                    # Danger: its answer was on the way, so it stands there, and nobody would ever end it
+                    self.cut(node, set_up.play)
+                set_up.settle("error" if why == "spoilt" else "broken", {})
+            elif line.came_up and not set_up.tries:
+                set_up.tries += 1  # nothing was handed over: another connection may be the better one
+                self.start(set_up)
             else:
-                ask.settle("unreached", {})
+                set_up.settle("unreached", {})
+        for play in [play for play, given_up in connection.spent.items() if given_up]:
+            self.heard_end(node, play)  # with its connection, at the latest
         self.keep(node)
 
-    def close(self, road: Road) -> None:
-        """Close a connection that has nothing open on it."""
-        self.roads.pop(road.line, None)
-        road.node.roads.remove(road)
-        road.limit.cancel()
-        road.line.close()
+    def retire(self, connection: Connection) -> bool:
+        """Close a connection that is not needed; whether it is closed. The only place that does.
+
+        Danger: what its node has just written there, the end of a session for one, would be lost.
+        """
+        if not connection.idle or connection.line.queue:
+            return False
+        if connection.line.unread():
+            self.loop.call_soon(connection.line.readable)
+            return False
+        self.forget(connection)
+        return True
+
+    def forget(self, connection: Connection) -> None:
+        self.connections.pop(connection.line, None)
+        connection.node.connections.remove(connection)
+        connection.limit.cancel()
+        connection.line.close()
 
     def keep(self, node: Node) -> None:
         """Where sessions stand the node needs a way to say that one is over."""
-        if self.closed or not node.standing or self.nodes.get(node.id) is not node:
+        if self.closed or not node.standing or not self.lists(node):
             return
         # Danger: a machine that vanished leaves a connection that stays open and says nothing.
         silent = time.monotonic() - node.heard > QUIET
-        if node.missed >= SURE and (silent or not node.roads):
+        if node.missed >= SURE and (silent or not node.connections):
             self.log.warning("a node can't be reached; its sessions are over", node=node.id,
                              sessions=len(node.standing))
             self.lost(node)
-        elif not node.roads and node.pause is None:
+        elif not node.connections and node.pause is None:
             pause = PAUSES[min(node.missed - 1, len(PAUSES) - 1)] if node.missed else 0.0
             node.pause = self.timers.after(pause, self.reach, node)
 
     def reach(self, node: Node) -> None:
         node.pause = None
-        if (not self.closed and self.nodes.get(node.id) is node and not node.roads and node.standing
-                and self.road(node) is None):
+        if (not self.closed and self.lists(node) and not node.connections and node.standing
+                and self.open(node) is None):
             node.pause = self.timers.after(PAUSES[-1], self.reach, node)
 
     def look(self) -> None:
@@ -278,68 +327,97 @@
         now = time.monotonic()
         idle = self.driver.card.get("permissions.idle_close", 15 * SECOND) / SECOND * 0.6
         for node in list(self.nodes.values()):
-            for road in [r for r in node.roads if r.idle and r.line.open]:
-                if road.tired or (now - max(road.used, road.heard) > idle and
-                                  (len(node.roads) > 1 or not node.standing)):
-                    self.close(road)
+            for connection in [c for c in node.connections if c.line.open]:
+                if connection.tired or (now - max(connection.used, connection.heard) > idle and
+                                        (len(node.connections) > 1 or not node.standing)):
+                    self.retire(connection)
+            for play in [p for p, (_, at) in node.ending.items() if now - at > self.connect_limit]:
+                del node.ending[play]  # it is free to the node whether it says that it heard
             if node.standing and node.row.state != "gone":
-                if not node.roads:
+                if not node.connections:
                     self.keep(node)
                 elif (now - node.heard > self.silences.allowed(node.row.zone, now)
-                      and all(r.line.open for r in node.roads)):
-                    self.road(node)
+                      and all(c.line.open for c in node.connections)):
+                    self.open(node)
         if not self.closed:
             self.timers.after(LOOK, self.look)
 
     # ---- what is asked of a node
 
-    def set_up(self, held: Held, number: int, name: str, span: float) -> Ask | None:
+    def set_up(self, held: Held, number: int, name: str, span: float) -> SetUp | None:
         """Ask a node to set a session up; None where it is not listed or the session is closed."""
         node = self.nodes.get(name)
         if node is None or held.answered:
             return None
-        ask = Ask(self, node, held, number, span)
-        self.start(ask)
-        return ask
-
-    def start(self, ask: Ask) -> None:
-        road = self.pick(ask.node)
-        if road is None:
+        set_up = SetUp(self, node, held, number, span)
+        if set_up.play in node.ending:
+            # Danger: an earlier set-up of the play was given up there. Its TEARDOWN, on another connection,
+            # may come after this one and end it.
+            node.behind[set_up.play], set_up.waited = set_up, True
+            self.timers.after(self.connect_limit, self.let_go, node, set_up)
+        else:
+            self.start(set_up)
+        return set_up
+
+    def let_go(self, node: Node, set_up: SetUp) -> None:
+        """What was waited for is over, or was long enough on its way."""
+        if node.behind.get(set_up.play) is set_up:
+            del node.behind[set_up.play]
+            if set_up.state == WAITING:
+                self.start(set_up)
+
+    def heard_end(self, node: Node, play: str) -> None:
+        """A node has heard a TEARDOWN, or its connection has ended."""
+        count, at = node.ending.pop(play, (0, 0.0))
+        if count > 1:
+            node.ending[play] = count - 1, at
+        elif play in node.behind:
+            self.let_go(node, node.behind[play])
+
+    def start(self, set_up: SetUp) -> None:
+        connection = self.pick(set_up.node, set_up.play) if self.lists(set_up.node) else None
+        if connection is None:
             # ends after this returns: the driver has yet to note the allocation
-            self.loop.call_soon(ask.settle, "unreached", {})
+            self.loop.call_soon(set_up.settle, "unreached", {})
             return
-        ask.road = road
-        road.asks[ask.play] = ask
-        if road.line.open:
-            self.go(ask, road)
+        set_up.connection = connection
+        connection.set_ups[set_up.play] = set_up
+        if connection.line.open:
+            self.go(set_up, connection)
+        else:
+            set_up.waited = True
 
-    def go(self, ask: Ask, road: Road) -> None:
+    def go(self, set_up: SetUp, connection: Connection) -> None:
         """Hand the set-up over."""
-        held, node = ask.held, ask.node
-        # Danger: it may have waited for its connection: a drain told meanwhile, or a viewer gone, stops it.
-        if held.answered or held.closed or node.row.state != ask.state:
-            self.loop.call_soon(ask.settle, "not_sent", {})
+        held, node = set_up.held, set_up.node
+        # Danger: it may have waited for its connection. A drain told meanwhile, a process that has started
+        # anew and is cold, or a viewer gone, stops it.
+        if (held.answered or held.closed or node.stamp != set_up.stamp
+                or set_up.waited and held.exchange.hung_up()):
+            self.loop.call_soon(set_up.settle, "not_sent", {})
             return
-        left = ask.span - (time.monotonic() - ask.began)
+        left = set_up.span - (time.monotonic() - set_up.began)
         facts = held.facts
         data = rtsp.request("SETUP", facts.title, facts.play, 1, held.exchange.description,
                             Subject=facts.product, X_Patience=str(max(1, int(left * 1000))),
                             X_Rung=str(held.rung))
-        road.given.pop(facts.play, None)
-        road.used = time.monotonic()
-        ask.sent = road.line.send(data)
+        connection.used = time.monotonic()
+        if connection.line.send(data):
+            set_up.state = SENT
 
-    def give_up(self, ask: Ask) -> None:
+    def give_up(self, set_up: SetUp) -> None:
         """Tell the node that its answer is not waited for; one that crosses is cut."""
-        road, play = ask.road, ask.play
-        if road is None:
-            return
-        road.line.send(rtsp.request("TEARDOWN", ask.held.facts.title, play, 2))
-        road.given[play] = None
-        if len(road.given) > UNSAID:
-            del road.given[next(iter(road.given))]
-        if road.heard < ask.began:
-            road.tired = True  # nothing has come since: it may be dead without a word
+        connection, play = set_up.connection, set_up.play
+        self.end_told(set_up.node, play, connection.line.send(
+            rtsp.request("TEARDOWN", set_up.held.facts.title, play, 2)))
+        connection.spent[play] = True
+        if connection.heard < set_up.began:
+            connection.tired = True  # nothing has come since: it may be dead without a word
+
+    def end_told(self, node: Node, play: str, went: bool) -> None:
+        """A TEARDOWN went out, or not; the node may say that it heard it."""
+        if went:
+            node.ending[play] = node.ending.get(play, (0, 0.0))[0] + 1, time.monotonic()
 
     def release(self, name: str, play: str, cause: int) -> None:
         """End a session that stands at a node."""
@@ -349,10 +427,11 @@
 
     def cut(self, node: Node, play: str, cause: int = CUT) -> None:
         """End what stands there, or may stand though no answer told so."""
-        self.say(node, rtsp.request("TEARDOWN", play, play, 2, Reason=f"cause={cause}"))
+        data = rtsp.request("TEARDOWN", play, play, 2, Reason=f"cause={cause}")
+        self.end_told(node, play, self.say(node, data))
 
     def end(self, name: str, play: str, number: int, why: str) -> None:
-        """The driver ends what may run; what was open was given up when its ask ended."""
+        """The driver ends what may run; what was open was given up when its set-up ended."""
         node = self.nodes.get(name)
         if why == "moved" and node is not None and node.standing.pop(play, None) is not None:
             # Danger: a node told first cuts the session; its viewer is owed a release in place of the move.
@@ -371,75 +450,73 @@
         if node is not None and play in node.standing:
             self.say(node, rtsp.request("SET_PARAMETER", play, play, 4, X_Rung=str(rung)))
 
-    def say(self, node: Node, data: bytes) -> None:
-        """Say something that wants no answer, on an open connection, or on the next."""
-        for road in node.open_roads():
-            if road.line.send(data):
-                return
+    def say(self, node: Node, data: bytes) -> bool:
+        """Say something that wants no answer, on an open connection, or on the next. Whether it went out."""
+        for connection in node.open_connections():
+            if connection.line.send(data):
+                return True
         if node.row.state != "gone" and len(node.unsaid) < UNSAID:
             node.unsaid.append(data)
-            if all(r.line.open for r in node.roads):
-                self.road(node)
+            if all(c.line.open for c in node.connections):
+                self.open(node)
+        return False
 
     def probe(self, name: str) -> None:
         node = self.nodes.get(name)
-        road = node and self.pick_any(node)
-        if road is None:
+        connection = node and self.pick_any(node)
+        if connection is None:
             self.loop.call_soon(self.driver.hear, "probed", name, "unreached" if node else "not_sent", 0, {})
             return
         self.probes += 1
         session = f"{self.seed:08x}{self.probes & 0xFFFFFFFF:08x}"
-        road.probes[session] = time.monotonic()
-        self.timers.after(PROBE, self.probe_late, road, session)
-        data = rtsp.request("OPTIONS", "load", session, 3)
-        if road.line.open:
-            road.line.send(data)
-        else:
-            node.unsaid.append(data)
+        connection.probes[session] = time.monotonic()
+        self.timers.after(PROBE, self.probe_late, connection, session)
+        if connection.line.open:
+            connection.line.send(probe(session))  # else once it is up
 
-    def pick_any(self, node: Node) -> Road | None:
+    def pick_any(self, node: Node) -> Connection | None:
         """For a small question: any open connection, else one on its way, else a new one."""
-        sound = node.open_roads() or [r for r in node.roads if not r.tired]
-        return sound[0] if sound else self.road(node)
+        sound = node.open_connections() or [c for c in node.connections if not c.tired]
+        return sound[0] if sound else self.open(node)
 
-    def probe_late(self, road: Road, session: str) -> None:
-        if session in road.probes:
-            if road.heard < road.probes[session]:
-                road.tired = True
-            self.probe_ended(road, session, "late", {})
+    def probe_late(self, connection: Connection, session: str) -> None:
+        if session in connection.probes:
+            if connection.heard < connection.probes[session]:
+                connection.tired = True
+            self.probe_ended(connection, session, "late", {})
 
-    def probe_ended(self, road: Road, session: str, how: str, report: dict) -> None:
-        began = road.probes.pop(session, None)
+    def probe_ended(self, connection: Connection, session: str, how: str, report: dict) -> None:
+        began = connection.probes.pop(session, None)
         if began is not None:
             took = int((time.monotonic() - began) * SECOND)
-            self.driver.hear("probed", road.node.id, how, took, report)
+            self.driver.hear("probed", connection.node.id, how, took, report)
 
     # ---- what a node says
 
     def heard(self, line: Line, data: bytes) -> None:
-        road = self.roads[line]
-        road.heard = road.node.heard = time.monotonic()
-        for message in road.reader.feed(data):
-            self.take(road, message)
+        connection = self.connections[line]
+        connection.heard = connection.node.heard = time.monotonic()
+        for message in connection.reader.feed(data):
+            self.take(connection, message)
             if line.over:
                 return
-        if road.reader.why:
-            self.log.warning("a node can't be read", node=road.node.id, why=road.reader.why)
+        if connection.reader.why:
+            self.log.warning("a node can't be read", node=connection.node.id, why=connection.reader.why)
             line.end("spoilt")
 
-    def take(self, road: Road, message: rtsp.Message) -> None:
-        node, play = road.node, message.session
+    def take(self, connection: Connection, message: rtsp.Message) -> None:
+        node, play = connection.node, message.session
         if message.method == "TEARDOWN":
-            road.line.send(rtsp.response(200, "OK", message))
-            ask, cause = road.asks.get(play), message.cause()
-            if ask is not None and ask.sent:
+            connection.line.send(rtsp.response(200, "OK", message))
+            set_up, cause = connection.set_ups.get(play), message.cause()
+            if set_up is not None and set_up.state == SENT:
                 if cause == 16 and message.body:
                     # so short that its end comes with its answer; the play ran, and the node is sound
-                    self.answered(road, message._replace(status=200))
+                    self.answered(connection, message._replace(status=200))
                     if play in node.standing:
                         self.over(node, play, "ok", cause)
                 else:
-                    ask.settle("broken", self.report(message))
+                    set_up.settle("broken", self.report(message))
             elif play in node.moved:
                 node.moved.pop(play).cancel()
                 self.driver.viewers.over(play, cause or LOST, cause != CUT)
@@ -449,32 +526,36 @@
             self.note(node, play, message.fields)
         elif message.method:
             pass  # a move or a test is not for a front to hear
-        elif play in road.probes:
+        elif play in connection.probes:
             if message.status >= 200:
                 how = "ok" if message.status == 200 else "error"
-                self.probe_ended(road, play, how, self.report(message))
-        elif message.fields["cseq"] == "1" and message.status >= 200:
-            self.answered(road, message)
+                self.probe_ended(connection, play, how, self.report(message))
+        elif message.status >= 200 and message.fields["cseq"] == "1":
+            self.answered(connection, message)
+        elif message.status >= 200 and message.fields["cseq"] == "2":
+            self.heard_end(node, play)
 
-    def answered(self, road: Road, message: rtsp.Message) -> None:
+    def answered(self, connection: Connection, message: rtsp.Message) -> None:
         """The answer to a set-up. A second copy, or one of an unknown id, is nobody's."""
-        node, play = road.node, message.session
-        ask = road.asks.get(play)
-        if ask is None or not ask.sent:
-            if message.status == 200 and play in road.given and play not in node.standing:
-                del road.given[play]
+        node, play = connection.node, message.session
+        set_up = connection.set_ups.get(play)
+        if set_up is None or set_up.state != SENT:
+            # Danger: cut by its name, a later set-up of the play at this node would end with it.
+            elsewhere = play in node.standing or any(play in c.set_ups for c in node.connections)
+            if message.status == 200 and connection.spent.get(play) and not elsewhere:
+                connection.spent[play] = False
                 self.cut(node, play)
             return
         if message.status == 200:
             if not message.body:
-                ask.settle("error", {})
+                set_up.settle("error", {})
                 self.cut(node, play)
                 return
-            ask.held.exchange.answer = message.body
+            set_up.held.exchange.answer = message.body
             node.standing[play] = self.driver.clock.now()
-            ask.settle("ok", self.report(message))
+            set_up.settle("ok", self.report(message))
         else:
-            ask.settle(REFUSALS.get(message.status, "error"), self.report(message))
+            set_up.settle(REFUSALS.get(message.status, "error"), self.report(message))
 
     def note(self, node: Node, play: str, fields: dict[str, str]) -> None:
         kind = NOTES.get(fields.get("x-note", ""))
@@ -503,7 +584,7 @@
         if node is None:
             return False
         node.standing[play] = self.driver.clock.now()
-        if not node.roads and node.pause is None:
+        if not node.connections and node.pause is None:
             node.pause = self.timers.after(self.ways_in.wait(), self.reach, node)
         return True
 
@@ -512,5 +593,10 @@
 
     def close_all(self) -> None:
         self.closed = True
-        for road in list(self.roads.values()):
-            self.close(road)
+        for connection in list(self.connections.values()):
+            self.forget(connection)
+
+
+def probe(session: str) -> bytes:
+    """The question for a report, which the platform takes for a test."""
+    return rtsp.request("OPTIONS", "load", session, 3)
--- a/curlewhall/relay/serve.py
+++ b/curlewhall/relay/serve.py
@@ -9,7 +9,7 @@
 
 from curlewhall.errors import told
 from curlewhall.front.collector import calm_collector
-from curlewhall.front.driver import Driver
+from curlewhall.front.driver import SECOND, Driver
 from curlewhall.policy import Front
 from curlewhall.wire.server import listen
 from curlewhall.wire.timers import Timers
@@ -17,11 +17,13 @@
 from . import card
 from .absent import Log, NoMoves, NoPeers
 from .channel import Channel
+from .decide import Leaving
 from .nodes import Nodes
 from .viewers import Viewers
 
 WINDING = 0.002  # seconds between two rounds over the connections that are left
-LINGER = 0.75  # seconds after SIGTERM in which set-ups still come: 0.4 on new connections, 0.2 on open ones
+REREAD, REREADS = 0.1, 30  # seconds until a file that can't be used is read again; so often. 4 s are allowed
+SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
 
 
 class Relay:
@@ -31,6 +33,7 @@
         self.log, self.loop = log, asyncio.get_running_loop()
         self.timers, self.over = Timers(self.loop), asyncio.Event()
         self.before: dict[str, int] = {}  # what was counted when this front was told to leave
+        self.leaving, self.gone, self.rereading = None, False, None
         try:
             self.driver = Driver(Front, given.seed, given.card, self.timers, log)
             self.viewers = Viewers(self.driver, self.loop, self.timers, given.viewers, log)
@@ -46,23 +49,34 @@
         self.channel.subscribe()
         self.viewers.start(listener)  # from here on a test is passed: the module is born and knows the list
 
-    def reload(self) -> None:
-        """The channel may have moved; nothing else of the configuration changes under plays."""
+    def reload(self, tries: int = 0) -> None:
+        """The channel may have moved; nothing else of the configuration changes under plays.
+
+        Danger: a file that is being written while it is read. It is read again, or the channel would be lost.
+        """
+        if self.rereading is not None:
+            self.rereading.cancel()
+            self.rereading = None
         try:
             given = card.read(os.environ)
         except card.ConfigurationRefused as err:
-            self.log.say(f"the old configuration is kept: {err.told}")
+            if tries in (0, REREADS):
+                self.log.say(f"the old configuration is kept: {err.told}", tries=tries + 1)
+            if tries < REREADS:
+                self.rereading = self.timers.after(REREAD, self.reload, tries + 1)
             return
         self.log.say("configuration read again", channel="{}:{}".format(*given.channel))
         self.channel.point(given.channel)
 
     def stop(self) -> None:
         """Take what still comes, answer what is owed, then leave."""
-        if self.viewers.ready:
+        if self.leaving is None:
+            self.leaving = Leaving(max(p["time_limit"] for p in self.driver.card["products"]) / SECOND)
             self.viewers.ready = False
             self.before = dict(self.driver.counts)
             self.log.say("leaving", standing=len(self.driver.plays))
-            self.timers.after(LINGER, self.leave)
+            self.timers.after(self.leaving.refuses, self.leave)
+            self.timers.after(self.leaving.ends, self.end)
 
     def leave(self) -> None:
         """Set-ups come no more but on what stays open: close that one by one, each when nothing is owed on
@@ -72,15 +86,31 @@
         be lost with it; one that is idle, and read to its end, has nothing to lose but what crosses its
         close.
         """
+        if self.gone:
+            return
         if self.viewers.wind_down():
             self.timers.after(WINDING, self.leave)
-        elif any(not held.answered for held in self.driver.plays.values()):
-            self.timers.after(0.02, self.leave)  # owed to one whose connection is gone: no answer is due
         else:
-            since = {name: count - self.before.get(name, 0) for name, count in self.driver.counts.items()}
-            self.log.say("left", asked=since["asked"], played=since["played"], declined=since["declined"],
-                         failed=since["failed"], gone=since["left"])
-            self.timers.after(0.05, self.over.set)  # the last answers are on their way
+            self.left()
+
+    def end(self) -> None:
+        """The time is over in which answers are of use, and the kill is near: every play that was taken gets
+        its answer now, and the connections are closed.
+        """
+        if self.gone:
+            return
+        for held in list(self.driver.plays.values()):
+            if not held.answered:
+                self.driver.overdue(held)
+        self.viewers.wind_down(last=True)
+        self.left()
+
+    def left(self) -> None:
+        since = {name: count - self.before.get(name, 0) for name, count in self.driver.counts.items()}
+        self.log.say("left", asked=since["asked"], played=since["played"], declined=since["declined"],
+                     failed=since["failed"], gone=since["left"], refused=self.viewers.refused)
+        self.gone = True
+        self.timers.after(0.05, self.over.set)  # the last answers are on their way
 
     def close(self) -> None:
         self.channel.close()
@@ -89,12 +119,26 @@
 
 
 async def until_told(given: card.Given, log: Log) -> None:
-    relay = Relay(given, log)
-    relay.loop.add_signal_handler(signal.SIGHUP, relay.reload)
-    for number in (signal.SIGTERM, signal.SIGINT):
-        relay.loop.add_signal_handler(number, relay.stop)
+    relay, early = None, []
+
+    def told(number: int) -> None:
+        if relay is None:
+            early.append(number)
+        elif number == signal.SIGHUP:
+            relay.reload()
+        else:
+            relay.stop()
+
+    loop = asyncio.get_running_loop()
+    for number in SIGNALS:
+        loop.add_signal_handler(number, told, number)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)  # those that came while the program was loaded, too
+    await asyncio.sleep(0)
+    relay = Relay(given, log)  # within one turn of the loop: nobody is served before signals are heard
     log.say("serving", name=given.name, address="{}:{}".format(*given.address),
             nodes=len(relay.nodes.nodes))
+    for number in early:
+        told(number)
     del given
     calm_collector(5_000, 20)  # a small machine: rounds often enough that what is in cycles never adds up
     await relay.over.wait()
--- a/curlewhall/relay/viewers.py
+++ b/curlewhall/relay/viewers.py
@@ -21,6 +21,9 @@
 IDLE = 6.0  # seconds without any session; viewers themselves close after 4
 SOON = 0.4  # seconds that a release waits for a connection known to be a usual viewer's; 1 s is allowed
 KEPT = 8.0  # seconds after which a release that nobody came for is dropped: nothing counts it any more
+SLOW = 8.0  # seconds in which a client takes nothing of what is written to it until it is closed all the same
+YOUNG = 0.25  # seconds in which a new client's first bytes come, many times the way
+AT_ONCE, SHUT = 64, 64  # connections accepted in one turn of the loop; such turns before the door is shut
 PATIENT = 10  # times a product's time limit: viewers wait no longer than it; beyond this it is no patience
 DECLINED, FAILED, WRONG = 42, 41, 100  # causes: congestion; temporary failure; invalid contents (ITU-T Q.850)
 TITLE = re.compile(rb"[0-9a-f]{16}")
@@ -52,17 +55,23 @@
 class Session:
     """A play on the viewers' side, from its set-up until it is over: `Held.exchange` of the driver."""
 
-    __slots__ = ("id", "viewer", "description", "answer", "held", "stands")
+    __slots__ = ("id", "connection", "description", "answer", "held", "stands")
 
-    def __init__(self, name: str, viewer: "Viewer", description: bytes = b"") -> None:
-        self.id, self.viewer, self.description, self.answer = name, viewer, description, b""
+    def __init__(self, name: str, connection: "Connection", description: bytes = b"") -> None:
+        self.id, self.connection, self.description, self.answer = name, connection, description, b""
         self.held, self.stands = None, False
 
+    def hung_up(self) -> bool:
+        """Whether its viewer has ended the connection, though that was not read yet."""
+        return self.connection is None or self.connection.line.dead()
 
-class Viewer:
-    """One connection from viewers."""
 
-    __slots__ = ("line", "reader", "since", "heard", "partial", "open", "stands", "sound", "closing")
+class Connection:
+    """One connection from viewers. `parting`: no set-up is taken from it any more, and it is closed once
+    nothing is owed on it; it is still read, so that a release, or its end, is heard of.
+    """
+
+    __slots__ = ("line", "reader", "since", "heard", "partial", "open", "stands", "sound", "parting")
 
     def __init__(self, now: float) -> None:
         self.line, self.reader = None, messages.Reader()
@@ -70,11 +79,14 @@
         self.partial = 0.0  # since when a message is half here; 0: none is
         self.open: dict[str, Session] = {}  # set-ups that are owed an answer
         self.stands: dict[str, Session] = {}
-        self.sound = self.closing = False
+        self.sound = self.parting = False
 
 
 class Viewers:
-    """Owns the listener and all connections from viewers. At most `most` of them are held."""
+    """Owns the listener and all connections from viewers. At most `most` of them are held.
+
+    Its states: `ready`, then not any more (tests fail, set-ups are taken), then `refusing` (none is taken).
+    """
 
     def __init__(self, driver: Driver, loop, timers, most: int, log) -> None:
         self.driver, self.loop, self.timers, self.most, self.log = driver, loop, timers, most, log
@@ -83,12 +95,12 @@
         self.products = {p["name"]: (floors[i], PATIENT * p["time_limit"])
                          for i, p in enumerate(card["products"])}
         self.places, self.rungs = max(1, card["specifics.places"]), len(card["specifics.rung_kb"])
-        self.lines: dict[Line, Viewer] = {}
+        self.connections: dict[Line, Connection] = {}
         self.sessions: dict[str, Session] = {}
         self.waiting: OrderedDict[str, tuple[float, bytes]] = OrderedDict()  # releases without a connection
-        self.usual: OrderedDict[Viewer, None] = OrderedDict()  # connections that were served, latest last
+        self.usual: OrderedDict[Connection, None] = OrderedDict()  # those that were served, latest last
         self.away: OrderedDict[str, None] = OrderedDict()  # viewers moved, who have yet to come again
-        self.listener, self.ready = None, False
+        self.listener, self.ready, self.refusing, self.refused = None, False, False, 0
 
     # ---- connections
 
@@ -97,151 +109,197 @@
         self.loop.add_reader(listener.fileno(), self.accept)
         self.timers.after(LOOK, self.look)
 
-    def accept(self) -> None:
-        for _ in range(64):  # then others have their turn
+    def accept(self) -> bool:
+        """Take some of those who wait; whether there may be more."""
+        for _ in range(AT_ONCE):
             try:
                 sock, _ = self.listener.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return
+            except (BlockingIOError, InterruptedError):
+                return False
+            except ConnectionError:
+                continue  # it has gone again
             except OSError as err:
                 # Danger: out of descriptors, and the listener stays readable: make room, come back later.
                 self.log.warning("can't accept", why=err.strerror)
                 if not self.make_room():
                     self.loop.remove_reader(self.listener.fileno())
                     self.timers.after(0.05, self.again)
-                    return
+                    return False
                 continue
-            if len(self.lines) >= self.most and not self.make_room():
+            if len(self.connections) >= self.most and not self.make_room():
                 sock.close()
                 continue
             sock.setblocking(False)
-            viewer = Viewer(time.monotonic())
+            connection = Connection(time.monotonic())
             try:
-                viewer.line = Line(self.loop, sock, self)
+                connection.line = Line(self.loop, sock, self)
             except OSError:
                 sock.close()
                 continue
-            self.lines[viewer.line] = viewer
+            self.connections[connection.line] = connection
+        return True
 
     def again(self) -> None:
         if self.listener is not None:
             self.loop.add_reader(self.listener.fileno(), self.accept)
 
     def make_room(self) -> bool:
-        """Close the connection that will be missed least; False where each has a set-up open."""
-        free = [v for v in self.lines.values() if not v.open]
-        if not free:
+        """Close the connection that will be missed least; False where none may be closed.
+
+        Danger: the first bytes of who has just come are on their way; closed, that set-up is lost, while
+        whoever asks for nothing comes again. But a crowd that says nothing takes half of the room at most.
+        """
+        young = time.monotonic() - YOUNG
+        if 2 * sum(not c.sound for c in self.connections.values()) > self.most:
+            young = float("inf")
+        free = sorted((c for c in self.connections.values() if not c.open),
+                      key=lambda c: (c.sound or c.since > young, bool(c.stands), c.heard))
+        return any(self.close_clear(c, torn=not c.sound) for c in free) or \
+            any(self.close_clear(c, torn=True) for c in free)
+
+    def close_clear(self, connection: Connection, torn: bool = False) -> bool:
+        """Close a connection unless something is owed on it, or was said on it; whether it is closed.
+
+        `torn`: a message that is half here doesn't keep it.
+
+        The only place where this side closes one. Danger: what lies unread in the kernel is lost with it, and
+        it may be a set-up that was taken; an answer that a slow reader has yet to take is cut.
+        """
+        if connection.line.over:
+            return True
+        if connection.open:
+            return False
+        if connection.line.queue and time.monotonic() - connection.line.moved < SLOW:
+            return False
+        if connection.line.unread():
+            connection.line.readable()
+            if connection.line.over:
+                return True
+            if connection.open or not connection.parting and connection.line.unread():
+                return False
+        if connection.reader.data and not torn and not connection.parting:
             return False
-        self.drop(min(free, key=lambda v: (v.sound, bool(v.stands), v.heard)))
+        self.drop(connection)
         return True
 
-    def drop(self, viewer: Viewer) -> None:
-        viewer.line.close()
-        self.ended(viewer.line, "dropped")
+    def drop(self, connection: Connection) -> None:
+        connection.line.close()
+        self.ended(connection.line, "dropped")
 
     def ended(self, line: Line, why: str) -> None:
         """A connection is gone, and with it the set-ups that were open on it."""
-        viewer = self.lines.pop(line)
-        self.usual.pop(viewer, None)
-        for session in list(viewer.open.values()):
+        connection = self.connections.pop(line)
+        self.usual.pop(connection, None)
+        for session in list(connection.open.values()):
             self.give_up(session)
-        for session in viewer.stands.values():
-            session.viewer = None
+        for session in connection.stands.values():
+            session.connection = None
 
     def look(self) -> None:
         """Close what says nothing, ends nothing or has nothing more to say; send releases that wait."""
         now = time.monotonic()
-        for viewer in list(self.lines.values()):
-            silent = not viewer.sound and now - viewer.since > SILENT
-            torn = viewer.partial and now - viewer.partial > SILENT
-            if torn or viewer.closing or silent:
-                self.part(viewer)
-            elif not viewer.open and not viewer.stands and now - viewer.heard > IDLE:
-                self.drop(viewer)
+        for connection in list(self.connections.values()):
+            if connection.line.unread():
+                connection.line.readable()  # a busy core: what it said in time counts
+            if connection.parting:
+                self.close_clear(connection)
+            elif not connection.sound and now - connection.since > SILENT:
+                self.part(connection)
+            elif connection.partial and now - connection.partial > SILENT:
+                self.close_clear(connection, torn=True)
+            elif not connection.stands and now - connection.heard > IDLE:
+                self.close_clear(connection)
         self.flush(now)
         self.timers.after(LOOK, self.look)
 
-    def part(self, viewer: Viewer) -> None:
-        """Read no more of a connection, and close it once nothing is owed on it."""
-        viewer.closing = True
-        viewer.line.mute()
-        if not viewer.open:
-            self.drop(viewer)
+    def part(self, connection: Connection) -> None:
+        """Take no more set-ups from a connection, and close it once nothing is owed on it."""
+        connection.parting = True
+        self.loop.call_soon(self.close_clear, connection)  # what came with this piece is taken first
 
     def heard(self, line: Line, data: bytes) -> None:
-        viewer = self.lines[line]
-        for message in viewer.reader.feed(data):
-            self.take(viewer, message)
+        connection = self.connections[line]
+        for message in connection.reader.feed(data):
+            self.take(connection, message)
             if line.over:
                 return
-        if viewer.reader.why:
-            self.part(viewer)
-        elif not viewer.reader.data:
-            viewer.partial = 0.0
-        elif not viewer.partial or len(viewer.reader.data) <= len(data):
-            viewer.partial = time.monotonic()  # a message that has begun with this piece
-
-    def take(self, viewer: Viewer, message: messages.Message) -> None:
+        if connection.reader.why:
+            if not connection.parting:
+                self.part(connection)
+        elif not connection.reader.data:
+            connection.partial = 0.0
+        elif not connection.partial or len(connection.reader.data) <= len(data):
+            connection.partial = time.monotonic()  # a message that has begun with this piece
+
+    def take(self, connection: Connection, message: messages.Message) -> None:
         kind, name = message.kind, message.session
         if kind == messages.TEST:
-            viewer.sound, viewer.heard = True, time.monotonic()
+            connection.sound, connection.heard = True, time.monotonic()
             passed = b"\1" if self.ready else b"\0"
-            viewer.line.send(messages.message(messages.TESTED, name, cause=passed))
+            connection.line.send(messages.message(messages.TESTED, name, cause=passed))
         elif kind == messages.SET_UP:
-            self.set_up(viewer, message)
+            if not connection.parting:
+                self.set_up(connection, message)
         elif kind == messages.RELEASE:
             session = self.sessions.get(name)
             cause = message.fields.get(messages.CAUSE, b"")
-            viewer.line.send(messages.message(messages.HEARD, name))
+            connection.line.send(messages.message(messages.HEARD, name))
             if session is not None:
-                viewer.heard = time.monotonic()
+                connection.heard = time.monotonic()
                 if session.stands:
                     self.left(session, cause[0] if len(cause) == 1 else 16)
                 else:
                     self.give_up(session)
 
-    # ---- set-ups
-
-    def wind_down(self) -> int:
-        """Take no new connections, and close those on which nothing is owed, said or half said: the ones
-        without a session first. How many are left.
+    def wind_down(self, last: bool = False) -> int:
+        """Take no new connections and no set-ups, and close those on which nothing is owed, said or half
+        said: the ones without a session first. How many are left. `last`: there is no time for more.
         """
         self.shut()
-        for viewer in sorted(self.lines.values(), key=lambda viewer: bool(viewer.stands)):
-            if viewer.open or viewer.line.queue:
-                continue
-            if viewer.line.unread() and not viewer.closing:
-                viewer.line.readable()  # its answers first; the next round closes it
-            elif not viewer.reader.data or viewer.closing:
-                self.drop(viewer)
-        return len(self.lines)
+        if not self.refusing:
+            for connection in list(self.connections.values()):
+                if connection.line.unread():
+                    connection.line.readable()  # it came in time, while this front was busy
+            self.refusing = True
+        for connection in sorted(self.connections.values(), key=lambda c: bool(c.stands)):
+            if not self.close_clear(connection, torn=last) and last and not connection.line.queue:
+                self.drop(connection)
+        return len(self.connections)
+
+    # ---- set-ups
 
-    def set_up(self, viewer: Viewer, message: messages.Message) -> None:
+    def set_up(self, connection: Connection, message: messages.Message) -> None:
         name = message.session
         known = self.sessions.get(name)
         try:
             facts, figures, limit = self.read(message)
         except SetUpRefused as err:
             self.log.warning("a set-up that can't be taken", session=name, why=err.told)
-            if known is None or known.viewer is not viewer:
-                viewer.line.send(messages.message(messages.RELEASE, name, cause=bytes((WRONG,))))
+            if known is None or known.connection is not connection:
+                connection.line.send(messages.message(messages.RELEASE, name, cause=bytes((WRONG,))))
             return
         if "at" in figures:
             if known is None:
-                viewer.sound, viewer.heard = True, time.monotonic()
-                self.resume(viewer, facts, figures["at"])
+                connection.sound, connection.heard = True, time.monotonic()
+                self.resume(connection, facts, figures["at"])
             return
         if known is not None:
             # Danger: it must disturb neither the first, whose answer is on its way, nor others here.
-            if known.viewer is not viewer:
-                self.part(viewer)
+            if known.connection is not connection:
+                self.part(connection)
+            return
+        connection.sound, connection.heard = True, time.monotonic()
+        if self.refusing:
+            # Danger: clients that never stop sending would keep the connection open until the process is
+            # killed, and what is unanswered then is lost. A refusal does no harm: they ask another front.
+            self.refused += 1
+            connection.line.send(messages.message(messages.RELEASE, name, cause=bytes((DECLINED,))))
             return
-        viewer.sound, viewer.heard = True, time.monotonic()
         now = self.driver.clock.now()
-        session = Session(name, viewer, message.fields[messages.DESCRIPTION])
+        session = Session(name, connection, message.fields[messages.DESCRIPTION])
         held = Held(facts, facts, session, now + limit, now)
         session.held = held
-        self.sessions[name] = viewer.open[name] = session
+        self.sessions[name] = connection.open[name] = session
         moved = self.away.pop(facts.viewer, self) is None
         self.driver.asked(held, figures.get("again") == "1", moved)
 
@@ -281,14 +339,14 @@
             raise SetUpRefused(f"{name} is no number")
         return int(text)
 
-    def resume(self, viewer: Viewer, facts: Facts, node: str) -> None:
+    def resume(self, connection: Connection, facts: Facts, node: str) -> None:
         """A session that plays at its node already: adopted, without an answer."""
-        session = Session(facts.play, viewer)
+        session = Session(facts.play, connection)
         if not self.driver.nodes.adopt(facts.play, node):
             self.log.warning("a session at a node that is not listed", node=node)
             return
         session.stands = True
-        self.sessions[facts.play] = viewer.stands[facts.play] = session
+        self.sessions[facts.play] = connection.stands[facts.play] = session
         self.driver.resumed(facts, facts, node)
 
     def resumed(self, held: Held) -> None:
@@ -311,10 +369,10 @@
 
     def forget(self, session: Session) -> None:
         self.sessions.pop(session.id, None)
-        if session.viewer is not None:
-            session.viewer.open.pop(session.id, None)
-            session.viewer.stands.pop(session.id, None)
-            session.viewer.heard = time.monotonic()
+        if session.connection is not None:
+            session.connection.open.pop(session.id, None)
+            session.connection.stands.pop(session.id, None)
+            session.connection.heard = time.monotonic()
 
     # ---- answers, as the driver tells them
 
@@ -322,12 +380,11 @@
         session = self.sessions.get(held.facts.play)
         if session is None or session.stands:
             return None
-        viewer = session.viewer
+        connection = session.connection
         self.forget(session)
-        viewer.line.send(data)
-        if viewer.closing and not viewer.open:
-            # the answer just written leaves first
-            self.loop.call_soon(lambda: viewer.line in self.lines and self.drop(viewer))
+        connection.line.send(data)
+        if connection.parting and not connection.open:
+            self.loop.call_soon(self.close_clear, connection)  # the play has yet to be put down as one here
         return session
 
     def play(self, held: Held, number: int) -> None:
@@ -335,9 +392,9 @@
         session = self.answer(held, data)
         if session is not None:
             session.stands, session.description, session.answer = True, b"", b""
-            self.sessions[session.id] = session.viewer.stands[session.id] = session
-            self.usual[session.viewer] = None
-            self.usual.move_to_end(session.viewer)
+            self.sessions[session.id] = session.connection.stands[session.id] = session
+            self.usual[session.connection] = None
+            self.usual.move_to_end(session.connection)
             self.flush(time.monotonic())
 
     def decline(self, held: Held, away: int) -> None:
@@ -354,9 +411,9 @@
         if len(self.away) > 1000:  # far more than come back at one time
             self.away.popitem(last=False)
         session = self.sessions.get(held.facts.play)
-        if session is not None and session.viewer is not None:
+        if session is not None and session.connection is not None:
             # Danger: it may be over at its node already, and then a release is owed: the node's side tells.
-            session.viewer.line.send(messages.message(messages.MOVE, session.id))
+            session.connection.line.send(messages.message(messages.MOVE, session.id))
 
     def over(self, play: str, cause: int, owed: bool = True) -> None:
         """A session that stood has come to its end at its node."""
@@ -370,9 +427,9 @@
         session = self.sessions.get(play)
         if session is None or not session.stands:
             return
-        viewer = session.viewer
+        connection = session.connection
         self.forget(session)
-        if viewer is None or not viewer.line.send(data):
+        if connection is None or not connection.line.send(data):
             self.waiting[play] = time.monotonic(), data
             self.flush(time.monotonic())
 
@@ -380,28 +437,31 @@
         """Releases that lost their connection go out on another one."""
         while self.waiting:
             play, (since, data) = next(iter(self.waiting.items()))
-            viewer = next(reversed(self.usual), None)
-            if viewer is None and now - since > SOON:
+            connection = next(reversed(self.usual), None)
+            if connection is None and now - since > SOON:
                 # Danger: a bad viewer's connection would swallow it; one with a sound message hardly.
-                viewer = next((v for v in reversed(self.lines.values()) if v.sound and not v.closing), None)
-            if now - since > KEPT or (viewer is not None and viewer.line.send(data)):
+                connection = next((c for c in reversed(self.connections.values())
+                                   if c.sound and not c.parting), None)
+            if now - since > KEPT or (connection is not None and connection.line.send(data)):
                 del self.waiting[play]
-            elif viewer is not None:
-                self.usual.pop(viewer, None)
-                viewer.sound = False
+            elif connection is not None:
+                self.usual.pop(connection, None)
+                connection.sound = False
             else:
                 return
 
     def shut(self) -> None:
         """Take no new connections, but for those that the kernel has taken already."""
         if self.listener is not None:
-            self.accept()
+            rounds = SHUT  # a queue is shorter, a flood has no end
+            while rounds and self.accept():
+                rounds -= 1
             self.loop.remove_reader(self.listener.fileno())
             self.listener.close()
             self.listener = None
 
     def close(self) -> None:
         self.shut()
-        for line in list(self.lines):
+        for line in list(self.connections):
             line.close()
-        self.lines.clear()
+        self.connections.clear()
--- a/curlewhall/wire/line.py
+++ b/curlewhall/wire/line.py
@@ -6,38 +6,48 @@
 """
 
 import errno
+import select
 import socket
+import time
 
+HUNG_UP = getattr(select, "POLLRDHUP", 0)  # Linux; elsewhere an end behind unread bytes is seen later
 BUFFER = bytearray(16384)  # of all lines: one thread reads, and gives away what it read before it reads again
 VIEW = memoryview(BUFFER)
 QUEUED = 1 << 16  # bytes that wait for a slow reader; four messages of the longest kind, then the line ends
 
 
+def ended_by_peer(sock: socket.socket) -> bool:
+    """Whether the other side has closed, half-closed or reset, asked of the kernel now.
+
+    Danger: bytes that nobody has read yet lie before the end and hide it from a read; a poll sees it.
+    """
+    try:
+        if not sock.recv(1, socket.MSG_PEEK):
+            return True
+    except (BlockingIOError, InterruptedError):
+        return False
+    except OSError:
+        return True
+    poll = select.poll()
+    poll.register(sock, HUNG_UP)
+    return bool(poll.poll(0))
+
+
 class Line:
     """A socket with its owner. `why` of an end: refused, unreached, closed, reset, full, or the owner's."""
 
-    __slots__ = ("loop", "sock", "owner", "queue", "open", "over", "reading")
+    __slots__ = ("loop", "sock", "owner", "queue", "open", "over", "came_up", "moved")
 
     def __init__(self, loop, sock: socket.socket, owner, fresh: bool = False) -> None:
         """`fresh`: the connection has yet to come up (`connect`)."""
         self.loop, self.sock, self.owner, self.queue = loop, sock, owner, bytearray()
-        self.open, self.over, self.reading = not fresh, False, False
+        self.open = self.came_up = not fresh
+        self.over, self.moved = False, 0.0  # moved: when bytes of the queue last went out, or were put there
         if fresh:
             loop.add_writer(sock.fileno(), self.connected)
         else:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self.read()
-
-    def read(self) -> None:
-        if not self.reading:
-            self.reading = True
-            self.loop.add_reader(self.sock.fileno(), self.readable)
-
-    def mute(self) -> None:
-        """Read no more; what is owed can still be written."""
-        if self.reading:
-            self.reading = False
-            self.loop.remove_reader(self.sock.fileno())
+            loop.add_reader(sock.fileno(), self.readable)
 
     def connected(self) -> None:
         self.loop.remove_writer(self.sock.fileno())
@@ -45,8 +55,8 @@
         if code:
             self.end("refused" if code == errno.ECONNREFUSED else "unreached")
             return
-        self.open = True
-        self.read()
+        self.open = self.came_up = True
+        self.loop.add_reader(self.sock.fileno(), self.readable)
         self.owner.opened(self)
 
     def readable(self) -> None:
@@ -72,13 +82,8 @@
             return False
 
     def dead(self) -> bool:
-        """Whether the other side has closed or reset, asked of the kernel now."""
-        try:
-            return not self.sock.recv(1, socket.MSG_PEEK)
-        except (BlockingIOError, InterruptedError):
-            return False
-        except OSError:
-            return True
+        """Whether the other side has ended it, though that was not read yet."""
+        return self.over or ended_by_peer(self.sock)
 
     def send(self, data: bytes) -> bool:
         """Hand bytes over, in order. False: nothing of them went out, nor will it."""
@@ -98,6 +103,7 @@
             return False
         if done < len(data):
             self.queue += data[done:]
+            self.moved = time.monotonic()
             self.loop.add_writer(self.sock.fileno(), self.writable)
         return True
 
@@ -110,6 +116,7 @@
             self.end("reset")
             return
         del self.queue[:done]
+        self.moved = time.monotonic()
         if not self.queue:
             self.loop.remove_writer(self.sock.fileno())
 
--- a/curlewhall/wire/server.py
+++ b/curlewhall/wire/server.py
@@ -14,8 +14,10 @@
 from collections.abc import Callable
 
 from .http import Limits, Message, MessageRefused, Requests, chunk, response_head
+from .line import ended_by_peer
 from .timers import Timers
 
+LOOK = 0.05  # seconds between two looks at a client that is not read from: gone, it is forgotten within 0.1 s
 READ = 2048  # bytes of a connection's own buffer: a viewer's request takes a few hundred
 
 
@@ -84,6 +86,10 @@
     def open(self) -> bool:
         return not self.line.closed
 
+    def hung_up(self) -> bool:
+        """Whether the client has ended the connection, though that was not read yet."""
+        return self.line.closed or ended_by_peer(self.line.sock)
+
 
 class Connection:
     """One client: a task that reads, and one that writes while there is something to write."""
@@ -150,10 +156,15 @@
                 if (parser.current is not None) != busy or busy is False:
                     busy = parser.current is not None
                     self.watch(*((limits.read, "read") if busy else (limits.idle, "idle")))
-                # Danger: a client that sends and never reads. No more requests are taken than are answered.
+                # Danger: a client that sends and never reads. No more requests are taken than are answered;
+                # but who hangs up meanwhile is seen to, and waited for no more.
                 while len(self.exchanges) >= limits.pipeline and not self.closed:
                     self.room.clear()
-                    await self.room.wait()
+                    with contextlib.suppress(TimeoutError):
+                        async with asyncio.timeout(LOOK):
+                            await self.room.wait()
+                    if ended_by_peer(self.sock):
+                        self.close()
         except MessageRefused as err:
             self.refuse(err)
             return
--- a/tests/relay/test_channel.py
+++ b/tests/relay/test_channel.py
@@ -247,3 +247,24 @@
         await place.until(lambda: states["n1"].row.state == "draining")
         assert new.calls == [2]
         old.close()
+
+
+@looped
+async def test_a_file_half_written_is_read_again(tmp_path, clock, monkeypatch):
+    """SIGHUP comes while the file is being written: the channel's new address is not lost with it."""
+    async with town(tmp_path, clock=clock, nodes=("n0",)) as place:
+        monkeypatch.setenv("RELAY_CONFIG", str(place.file))
+        monkeypatch.setenv("RELAY_LISTEN", f"127.0.0.1:{place.port}")
+        await place.until(lambda: place.platform.channel.lines)
+        text = json.dumps(place.config(place.port) | {"channel": "127.0.0.1:9"})
+        for part in ("", text[:len(text) // 2]):
+            place.file.write_text(part)
+            place.relay.reload()
+            await place.advance(0.5)
+            assert place.relay.channel.address[1] != 9
+        place.file.write_text(text)
+        await place.advance(0.2)
+        assert place.relay.channel.address == ("127.0.0.1", 9)
+        asked = len(place.lines)
+        await place.advance(5.0)
+        assert not any("kept" in line for line in place.lines[asked:])
--- a/tests/wire/test_wire.py
+++ b/tests/wire/test_wire.py
@@ -246,3 +246,23 @@
     assert len(timers) == 4 and len(timers.heap) < 100
     await last.wait()
     assert rung == [(0.01, 2), (0.02, 1), (0.02, 3)] and len(timers) == 0
+
+
+@pytest.mark.parametrize("how", ["close", "half-close", "reset"])
+@looped
+async def test_who_hangs_up_with_the_pipeline_full_is_missed_at_once(how):
+    """No more is read from it, and bytes lie before its end: each that is owed an answer is told."""
+    rig = Rig(pipeline=2)
+    peer = await Peer.open(rig.port)
+    await peer.send(b"".join(GET % i for i in range(2)))
+    taken = [await rig.asked.get() for _ in range(2)]
+    await peer.send(GET % 2)
+    assert not any(exchange.hung_up() for exchange in taken)
+    if how == "half-close":
+        peer.sock.shutdown(socket.SHUT_WR)
+    else:
+        if how == "reset":
+            peer.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        peer.close()
+    assert all(exchange.hung_up() for exchange in taken)  # asked of the kernel, before anything is read
+    assert [await rig.gone.get() for _ in range(2)] == taken and rig.asked.empty()
