KNOWN-RED.txt: the tests that may fail for now, three at most, strict, and printed

A line names a test, its cause and its issue; the test gets a strict expected failure, so that one that passes fails the run, as does one that does not exist (in a run of the whole suite), a fourth line, or a line of another form. Each run prints the lines. A test that marks itself as expected to fail, or as skipped, is refused. There is no such file now: the normal state.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,6 +5,7 @@
 from curlewhall.interface import NodeRow
 from curlewhall.policy import Front
 
+pytest_plugins = ["known_red", "pytester"]
 SECOND = 10_000
 
 
--- a/tests/front/test_front.py
+++ b/tests/front/test_front.py
@@ -423,8 +423,8 @@
 @looped
 async def test_two_hundred_set_ups_in_one_turn_get_an_answer_each(tmp_path):
     # a busy machine makes 200 connections in more than the quarter second that one may take
-    async with town(tmp_path, TwoDrawn, old="permissions {", new="permissions {\n  connect_time_limit_ms: 20000"
-                    ) as place:
+    patient = {"old": "permissions {", "new": "permissions {\n  connect_time_limit_ms: 20000"}
+    async with town(tmp_path, TwoDrawn, **patient) as place:
         replies = await asyncio.gather(*[place.pool.fetch(place.request(viewer=f"v{i}"), 20)
                                          for i in range(200)])
         statuses = [reply.message.status for reply in replies]
--- a/tests/relay/test_crossings.py
+++ b/tests/relay/test_crossings.py
@@ -122,17 +122,22 @@
 @pytest.mark.parametrize("behind", ["", "set-up", "half"])
 @looped
 async def test_gone_before_its_set_up_is_read(tmp_path, behind):
-    """Set-up and end lie in the socket together: the relay was busy, and begins nothing."""
+    """Set-up and end lie in the socket together: the relay was busy, and begins nothing. Connections to nodes
+    are up and idle, so that nothing else would keep a set-up back.
+    """
     async with town(tmp_path) as place:
-        client = Client(place)
+        first, client = Client(place), Client(place)
+        served = [first.ask() for _ in range(3)]
+        await place.settle()
         for _ in range(3):
             client.ask()
         if behind:
             client.say(set_up("e" * 16)[:None if behind == "set-up" else 20])
         client.close()
         await place.settle()
-        await place.until(lambda: not place.relay.viewers.connections)
-        assert not place.sent() and not place.relay.driver.plays
+        await place.until(lambda: len(place.relay.viewers.connections) == 1)
+        assert sorted(s for _, s in place.sent()) == served and place.relay.driver.plays.keys() == set(served)
+        first.close()
 
 
 @looped
