Daemon: SIGHUP reloads; out of descriptors proves that nothing was sent

Read: `curlewhall start` had no handler for SIGHUP, whose default action ends the daemon, and its workers with it. It is now a reload as by the control socket: a file half written or wrong changes nothing, and one that comes during a stop is refused.

Read: `wire.client.Pool.run` answered `broken` where not even a socket was to be had (`take` raises OSError before anything is sent); a paid play was failed for that, which it may go elsewhere for. It is `unreached` now. Both tests fail without the mend: the daemon was gone after SIGHUP; the ending was `broken`.

--- a/curlewhall/daemon/run.py
+++ b/curlewhall/daemon/run.py
@@ -292,6 +292,11 @@
             self.notify.say("RELOADING=1", f"MONOTONIC_USEC={time.monotonic_ns() // 1000}")
         return await self.asked(what)
 
+    async def reload(self) -> None:
+        """As by the control socket; whoever sent the signal reads the outcome in the log."""
+        reply = await self.do("reload")
+        self.log.info("reload by signal", **reply)
+
     async def asked(self, what: str) -> dict:
         future = self.loop.create_future()
         self.waiting.setdefault(what, []).append(future)
@@ -363,6 +368,8 @@
         try:
             for number in (signal.SIGTERM, signal.SIGINT):
                 self.loop.add_signal_handler(number, lambda: self.loop.create_task(self.asked("stop")))
+            # Danger: its default action ends a daemon whose terminal hangs up, and every play with it.
+            self.loop.add_signal_handler(signal.SIGHUP, lambda: self.loop.create_task(self.reload()))
             control = self.loop.create_task(self.serve_control())
             self.carry(self.supervisor.begin(now()))
             if self.notify.watchdog:
--- a/curlewhall/wire/client.py
+++ b/curlewhall/wire/client.py
@@ -143,7 +143,9 @@
         except MessageRefused as err:
             ask.settle(Reply("error", None, time.monotonic() - ask.asked_at, err.why))
         except (OSError, EOFError) as err:
-            ask.settle(Reply("broken", None, time.monotonic() - ask.asked_at, str(err)))
+            # Danger: out of descriptors not even a socket is to be had; a paid play would be failed for that.
+            ask.settle(Reply("broken" if ask.sent else "unreached", None, time.monotonic() - ask.asked_at,
+                             str(err)))
         except asyncio.CancelledError:
             ask.settle(Reply("withdrawn" if ask.sent else "not_sent", None, time.monotonic() - ask.asked_at))
         finally:
--- a/tests/daemon/test_process.py
+++ b/tests/daemon/test_process.py
@@ -102,6 +102,25 @@
         (False, "a restart is under way"), (True, "every worker was replaced")]
 
 
+def test_a_hang_up_is_a_reload_and_one_that_comes_during_a_stop_does_not_disturb_it(place):
+    file, folder, home, _ = place
+    log = folder / "log"
+    assert command("start", file, "--detach", "--log", log).returncode == 0
+    daemon, (first,) = ask(home, "status")["pid"], pids(home)
+    os.kill(daemon, signal.SIGHUP)
+    poll(lambda: pids(home)[0] not in (0, first) and ask(home, "status")["workers"][0]["state"] == "serving")
+    sound = file.read_text()
+    file.write_text(sound[:len(sound) // 2])  # half written
+    os.kill(daemon, signal.SIGHUP)
+    poll(lambda: "nothing was changed" in log.read_text())
+    assert ask(home, "status")["pid"] == daemon
+    file.write_text(sound)
+    for number in (signal.SIGTERM, signal.SIGHUP):
+        os.kill(daemon, number)
+    poll(lambda: command("status", file).returncode == 3)
+    assert "Traceback" not in log.read_text()
+
+
 @pytest.mark.parametrize("workers", [1, 2])
 def test_whoever_comes_while_a_daemon_stops_is_answered_or_refused_but_never_reset(place, workers):
     """Danger: what waits in the queue of a listening socket that closes is reset, and has no answer."""
--- a/tests/wire/test_wire.py
+++ b/tests/wire/test_wire.py
@@ -248,6 +248,20 @@
     assert rung == [(0.01, 2), (0.02, 1), (0.02, 3)] and len(timers) == 0
 
 
+@looped
+async def test_without_a_descriptor_nothing_was_sent(monkeypatch):
+    """The proof that nothing ran is not lost: a paid play may go to another node."""
+    rig = Rig()
+
+    def none(*facts):
+        raise OSError(24, "Too many open files")
+
+    with monkeypatch.context() as short:
+        short.setattr(socket, "socket", none)
+        reply = await rig.pool().fetch(GET % 1, 5)
+    assert reply.ending == "unreached" and "Too many" in reply.why
+
+
 @pytest.mark.parametrize("how", ["close", "half-close", "reset"])
 @looped
 async def test_who_hangs_up_with_the_pipeline_full_is_missed_at_once(how):
