--- a/tests/relay/test_crossings.py
+++ b/tests/relay/test_crossings.py
@@ -277,6 +277,65 @@
         assert client.closed()
 
 
+@pytest.mark.parametrize("first", ["refused", "given up", "given up before it was sent", "released", "ended"])
+@looped
+async def test_the_same_set_up_again_after_a_short_while(tmp_path, clock, first):
+    """Whatever became of the first: the second is a play of its own, answered once, never out beside it."""
+    async with town(tmp_path, clock=clock, nodes=("n0",)) as place:
+        node, client = place.platform.nodes["n0"], Client(place)
+        node.does = {"refused": "full", "given up": "silent"}.get(first, "serve")
+        name = client.ask()
+        if first != "given up before it was sent":
+            await place.settle()
+        if first == "ended":
+            node.end(name, 16)
+        elif first != "refused":
+            client.release(name)
+        await place.advance(1.1)  # a node that was full is passed over for 1 s
+        node.does = "serve"
+        before = len(client.answers(name))
+        client.ask(name)
+        await place.settle()
+        assert [m.kind for m in client.answers(name)[before:]] == [ANSWER]
+        assert place.platform.standing() == {name: "n0"} and not place.platform.broken()
+        client.close()
+
+
+@pytest.mark.parametrize("flood", ["tests", "releases", "set-ups", "set-ups taken back", "half messages"])
+@looped
+async def test_a_flood_on_one_connection_starves_no_other(tmp_path, flood):
+    """As much as the socket takes, again and again, while a usual viewer is served."""
+    def piece(number):
+        name = f"{number + (1 << 40):016x}"
+        asked, test = set_up(name), messages.message(messages.TEST, name, cause=b"\0")
+        back = messages.message(messages.RELEASE, name, cause=b"\x10")
+        return {"tests": test, "releases": back, "set-ups": asked, "set-ups taken back": asked + back,
+                "half messages": asked[:30]}[flood]
+
+    async with town(tmp_path) as place:
+        bad, usual, sent = Client(place), Client(place), 0
+        bad.sock.setblocking(False)
+        for _ in range(20):
+            name = usual.ask()
+            while not usual.answers(name):
+                raw = b"".join(piece(sent + i) for i in range(200))
+                sent += 200
+                try:
+                    bad.sock.send(raw)
+                except BlockingIOError:
+                    bad.closed()  # it reads whatever is sent to it
+                except OSError:
+                    bad = Client(place)  # it was closed, and comes again
+                    bad.sock.setblocking(False)
+                await asyncio.sleep(0)
+            (answer,) = usual.answers(name)
+            assert answer.kind == ANSWER or flood.startswith("set-ups")  # whose plays fill the streams
+            usual.release(name)
+        assert sent > 200 and not place.relay.driver.counts["faults"]
+        usual.close()
+        bad.close()
+
+
 # ---- leaving
 
 @pytest.mark.parametrize("seed", range(12))
