A viewer gone as its answer comes is not played for; a first set-up after the look is taken

Read: the node's answer was passed on, and the play put down as under way, where the viewer's end lay unread in its socket: nobody would have released it. The driver asks the kernel before a first frame counts (`Driver.set_up_ended`); what stands is ended at its node.

Three tests; each fails with the line it is for put back (3 of 3, 1 of 1, 1 of 1).

--- a/curlewhall/front/driver.py
+++ b/curlewhall/front/driver.py
@@ -212,6 +212,9 @@
         held.out.pop(number, None)
         span = int(took * SECOND)
         self.sites.set_up(node, how)
+        if how == "ok" and not held.answered and held.exchange is not None and held.exchange.hung_up():
+            # Danger: it would play on at its node for nobody. What is closed is ended there, below.
+            self.left(held)
         if how != "ok" or held.closed:
             if how == "ok":
                 how = "withdrawn"
--- a/curlewhall/relay/viewers.py
+++ b/curlewhall/relay/viewers.py
@@ -204,7 +204,8 @@
             if connection.parting:
                 self.close_clear(connection)
             elif not connection.sound and now - connection.since > SILENT:
-                self.part(connection)
+                if not self.close_clear(connection, torn=True) and now - connection.since > SILENT + 2 * LOOK:
+                    self.part(connection)  # it goes on saying what is no set-up and no test
             elif connection.partial and now - connection.partial > SILENT:
                 self.close_clear(connection, torn=True)
             elif not connection.stands and now - connection.heard > IDLE:
--- a/tests/relay/test_crossings.py
+++ b/tests/relay/test_crossings.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import contextlib
 import random
 import time
 
@@ -14,6 +15,7 @@
 from curlewhall.codecs import messages, rtsp
 from curlewhall.codecs.messages import ANSWER, RELEASE
 from curlewhall.relay import decide, nodes, viewers
+from curlewhall.wire.line import Line
 
 
 @pytest.fixture
@@ -154,6 +156,24 @@
         assert not place.sent(name)
 
 
+@pytest.mark.parametrize("how", ["close", "half-close", "reset"])
+@looped
+async def test_gone_as_its_answer_comes_from_the_node(tmp_path, how):
+    """Its end lies unread as the node's answer is: nobody would ever release what stands there."""
+    async with town(tmp_path, does="silent", nodes=("n0",)) as place:
+        client, node = Client(place), place.platform.nodes["n0"]
+        name = client.ask(product="paid")
+        await place.settle()
+        client.close(how)
+        (connection,) = place.relay.nodes.connections.values()
+        node.standing[name] = node.came[name]
+        node.say("answered", name, b"made")
+        place.relay.nodes.take(connection, rtsp.Reader().feed(node.answer(200, name, b"made"))[0])
+        await place.settle()
+        assert place.platform.of("cut", name) and not place.platform.standing()
+        assert not place.relay.driver.plays and not place.relay.viewers.sessions
+
+
 @looped
 async def test_gone_while_the_module_waits_for_a_report(tmp_path, clock):
     async with town(tmp_path, clock=clock, report={"how": "on_probe", "fields": ["cpu", "x1"]},
@@ -234,6 +254,45 @@
         client.close()
 
 
+@looped
+async def test_a_first_set_up_that_comes_late_and_after_the_look_is_taken(tmp_path, clock, monkeypatch):
+    """A client that said nothing for 2 s is to be closed; its set-up comes as the look has found nothing."""
+    async with town(tmp_path, clock=clock) as place:
+        client = Client(place)
+        await place.settle()
+        clock.now += viewers.SILENT + 0.1
+        unread, looks = Line.unread, []
+
+        def late(line):
+            looks.append(unread(line))
+            if len(looks) == 1:
+                client.ask("e" * 16)
+            return looks[-1]
+
+        monkeypatch.setattr(Line, "unread", late)
+        place.relay.viewers.look()
+        await place.settle()
+        assert not looks[0] and [m.kind for m in client.answers("e" * 16)] == [ANSWER]
+        client.close()
+
+
+@looped
+async def test_who_says_only_what_is_no_set_up_gets_its_close_in_time(tmp_path, clock):
+    """And says it without an end: there is always more than one read takes."""
+    async with town(tmp_path, clock=clock) as place:
+        client, look = Client(place), place.relay.viewers.look
+        noise = messages.message(messages.RELEASE, "e" * 16, cause=b"\x10") * 6000
+
+        def noisy():
+            with contextlib.suppress(OSError):
+                client.sock.send(noise)
+            look()
+
+        place.relay.viewers.look = noisy
+        await place.advance(3.0)
+        assert client.closed()
+
+
 @looped
 async def test_who_reads_nothing_is_closed_in_the_end(tmp_path, clock):
     async with town(tmp_path, clock=clock) as place:
@@ -430,8 +489,11 @@
 @pytest.mark.parametrize("told", ["draining", "started anew", "another address"])
 @looped
 async def test_a_node_that_is_another_once_its_connection_comes_up_gets_nothing(tmp_path, doors, told):
+    """Of what was chosen before; one that has started anew may get what the module chose knowing of it."""
     async with town(tmp_path, nodes=("n0",)) as place:
-        client = Client(place)
+        client, ends, ended = Client(place), [], place.relay.driver.set_up_ended
+        place.relay.driver.set_up_ended = lambda held, number, node, how, *more: (
+            ends.append((number, how)), ended(held, number, node, how, *more))
         client.ask(product="paid")
         await place.settle()
         await place.platform.add("n9")
@@ -441,10 +503,9 @@
         for _ in range(3):
             doors.let_in()
             await place.settle()
-        (node,) = place.relay.nodes.nodes.values()
-        first = {row.node for row in [node.row]} and place.sent()
-        # started anew, it may get one set-up, which the module chose knowing of the start
-        assert len(first) <= (told == "started anew") and not place.platform.broken()
+        assert ends[0] in ((0, "not_sent"), (0, "unreached")) and not place.platform.broken()
+        assert len(place.sent()) == sum(how not in ("not_sent", "unreached") for _, how in ends)
+        assert len(place.sent()) <= (told == "started anew")
         client.close()
 
 
@@ -504,9 +565,13 @@
     """The next answer on that connection is no part of it, and what stands at the node is ended there."""
     async with town(tmp_path, clock=clock, does="silent", nodes=("n0",)) as place:
         node, client = place.platform.nodes["n0"], Client(place)
+        node.does = ["serve", "silent"]
+        before = client.ask()
+        await place.settle()
         name = client.ask(product="paid")
         await place.settle()
         first = node.came[name]
+        assert first is node.came[before]
         first.write(node.answer(200, name, b"x" * 50)[:-20])
         node.out.pop(name)
         node.standing[name] = first
@@ -516,7 +581,10 @@
             first.close()
         await place.advance(3.1)
         assert [m.kind for m in client.answers(name)] == [RELEASE] and len(place.sent(name)) == 1
-        assert not place.platform.standing()
+        assert place.platform.standing().keys() == {before}
+        node.end(before, 16)  # told on the connection of its set-up, where that is still open
+        await place.settle()
+        assert [m.kind for m in client.answers(before)] == [ANSWER, RELEASE]
         node.does = "serve"
         other = client.ask()
         await place.settle()
