--- a/tests/relay/test_crossings.py
+++ b/tests/relay/test_crossings.py
@@ -565,7 +565,7 @@
     """The next answer on that connection is no part of it, and what stands at the node is ended there."""
     async with town(tmp_path, clock=clock, does="silent", nodes=("n0",)) as place:
         node, client = place.platform.nodes["n0"], Client(place)
-        node.does = ["serve", "silent"]
+        node.does, node.hears = ["serve", "silent"], False  # nothing more is said on that connection
         before = client.ask()
         await place.settle()
         name = client.ask(product="paid")
@@ -581,7 +581,7 @@
             first.close()
         await place.advance(3.1)
         assert [m.kind for m in client.answers(name)] == [RELEASE] and len(place.sent(name)) == 1
-        assert place.platform.standing().keys() == {before}
+        assert place.platform.standing().keys() == {before} and first not in node.lines
         node.end(before, 16)  # told on the connection of its set-up, where that is still open
         await place.settle()
         assert [m.kind for m in client.answers(before)] == [ANSWER, RELEASE]
