Running front: idle clients make room, and leave descriptors for the list and the nodes

Read: the HTTP server took connections up to `limits.connections` (10,000) whatever the process may hold, closed who came beyond it unanswered, and, out of descriptors, waited for some to end: clients that say nothing kept theirs for 30 s, the list service and the nodes had none. `serve` did not raise its soft limit, 1,024 as a rule. Users' term: idle clients may fill the descriptors while discovery is down.

Now viewers get six tenths of what a process may hold, less 24, at most (`wire.server.bearable`), whoever has been idle longest makes room, unless his request lies unread, and `serve` raises its limit as workers did. Not measured at the descriptors' limit itself with processes: the tests are the server's, with a limit of 2 and 4 connections.

--- a/curlewhall/daemon/worker.py
+++ b/curlewhall/daemon/worker.py
@@ -7,9 +7,7 @@
 """
 
 import asyncio
-import contextlib
 import os
-import resource
 import socket
 import sys
 
@@ -18,7 +16,7 @@
 from curlewhall import logs
 from curlewhall.errors import told
 from curlewhall.front.collector import calm_collector
-from curlewhall.front.serve import FrontProcess, policy
+from curlewhall.front.serve import FrontProcess, policy, raise_descriptors
 from curlewhall.recovery.form import Newer
 from curlewhall.recovery.store import Busy
 from curlewhall.settings import WrongFile, front_pb2, load
@@ -215,8 +213,6 @@
 
 
 if __name__ == "__main__":
-    with contextlib.suppress(ValueError, OSError):
-        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-        resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+    raise_descriptors()
     daemon, path, slot, workers, *named = sys.argv[1:]
     sys.exit(uvloop.run(main(int(daemon), path, int(slot), int(workers), *named)))
--- a/curlewhall/front/serve.py
+++ b/curlewhall/front/serve.py
@@ -1,8 +1,10 @@
 """One front as a process: puts the sides together, runs until it is told to stop."""
 
 import asyncio
+import contextlib
 import importlib
 import os
+import resource
 import signal
 import socket
 from collections.abc import Callable
@@ -266,9 +268,17 @@
     await front.stop()
 
 
+def raise_descriptors() -> None:
+    """As many descriptors as this process may have."""
+    with contextlib.suppress(ValueError, OSError):
+        _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+
+
 def run(file: FrontFile, log, make: Callable | None = None, mover: Callable | None = None,
         sites: Callable | None = None) -> None:
     """Serve until SIGTERM or SIGINT. `OSError` where a socket or the state's folder can't be had."""
+    raise_descriptors()
     try:
         uvloop.run(until_told(file, log, make, mover, sites))
     except (Busy, Newer) as err:
--- a/curlewhall/wire/server.py
+++ b/curlewhall/wire/server.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import ctypes
+import resource
 import socket
 import struct
 from collections import deque
@@ -99,10 +100,29 @@
         self.server, self.sock, self.peer, self.first = server, sock, peer, first
         self.raw, self.routed = b"", routed  # of the request under way; whether it was sent here on purpose
         self.exchanges: deque[Exchange] = deque()
-        self.closed = self.writing = self.last = False
+        self.closed = self.writing = self.last = self.half = False  # half: a request is half here
         self.room = asyncio.Event()
         self.limit = self.write_limit = None
         self.reader, self.writer = server.loop.create_task(self.read()), None
+        self.rest()
+
+    def rest(self) -> None:
+        """Put it last among those that may be closed to make room, or take it from them: where something is
+        owed on it, or half here.
+        """
+        self.server.idle.pop(self, None)
+        if not (self.closed or self.exchanges or self.half or self.first):
+            self.server.idle[self] = None
+
+    def unread(self) -> bool:
+        """Whether the client has said something, or hung up, and it was not read yet."""
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except (BlockingIOError, InterruptedError):
+            return False
+        except OSError:
+            pass
+        return True
 
     def watch(self, span: float, why: str) -> None:
         if self.limit is not None:
@@ -153,6 +173,8 @@
                 finally:
                     while parser.messages:
                         self.take(parser.messages.popleft())
+                    self.half = parser.current is not None
+                    self.rest()
                 if (parser.current is not None) != busy or busy is False:
                     busy = parser.current is not None
                     self.watch(*((limits.read, "read") if busy else (limits.idle, "idle")))
@@ -215,6 +237,7 @@
                 elif head.ended:
                     self.exchanges.popleft()
                     self.room.set()
+                    self.rest()
                     if not head.keep:
                         self.close()
                 else:
@@ -230,6 +253,7 @@
         """Give the connection, and what was read of its next request, to another server."""
         self.closed = True
         self.server.connections.discard(self)
+        self.rest()
         if self.limit is not None:
             self.limit.cancel()
         to(self.sock, data)
@@ -246,6 +270,7 @@
             return
         self.closed = True
         self.server.connections.discard(self)
+        self.rest()
         if self.limit is not None:
             self.limit.cancel()
         owed = [ex for ex in self.exchanges if not ex.ended]
@@ -269,8 +294,22 @@
 NO_SYN = struct.pack("HP", 4, ctypes.addressof(_FILTER))
 
 
+RESERVE = 24  # descriptors for the loop, the listeners, files and what is closing
+VIEWERS = 0.6  # of the rest; the others are for nodes, the list service and peers
+
+
+def bearable(most: int) -> int:
+    """How many viewers' connections a process may hold: `most`, or fewer where descriptors are scarce.
+
+    Danger: clients that say nothing would take them all, and neither the list nor a node could be reached.
+    """
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return most if soft == resource.RLIM_INFINITY else max(1, min(most, int((soft - RESERVE) * VIEWERS)))
+
+
 class Server:
-    """Accepts until `stop`. More connections than the limit are closed unanswered.
+    """Accepts until `stop`. Beyond the limit whoever has been idle longest makes room; where nobody is, who
+    comes is closed unanswered.
 
     `heir(sock, data)`, once it is set, gets each connection with the first bytes of its next request; what
     was begun before is still answered here. `route(messages)` may name another server, in the same form, for
@@ -283,6 +322,8 @@
                  limits: Limits = Limits()) -> None:  # noqa: B008 - a tuple, never changed
         self.loop, self.timers, self.sock, self.handler, self.limits = loop, timers, sock, handler, limits
         self.connections: set[Connection] = set()
+        self.idle: dict[Connection, None] = {}  # those on which nothing is owed or half here, longest first
+        self.most = bearable(limits.connections)
         self.turned_away = self.slow = 0
         self.accepted: Callable[[Connection], bool] | None = None
         self.heir: Callable[[socket.socket, bytes], None] | None = None
@@ -313,11 +354,12 @@
             except ConnectionError:
                 continue  # it has gone again
             except OSError:
+                self.make_room()
                 self.pause()  # out of descriptors: let some connections end first
                 self.timers.after(0.05, self.accept)
                 return False
             sock.setblocking(False)
-            if len(self.connections) >= self.limits.connections:
+            if len(self.connections) >= self.most and not self.make_room():
                 self.turned_away += 1
                 sock.close()
                 continue
@@ -325,6 +367,13 @@
             self.adopt(sock, peer)
         return True
 
+    def make_room(self) -> bool:
+        """Close the connection that has been idle longest, but for those whose client has said something."""
+        found = next((line for line in self.idle if not line.unread()), None)
+        if found is not None:
+            found.close()
+        return found is not None
+
     def adopt(self, sock: socket.socket, peer, first: bytes = b"", routed: bool = False) -> None:
         """Serve a connection, of which `first` was read already; `routed`: whoever it would go to else."""
         line = Connection(self, sock, peer, first, routed)
--- a/tests/wire/test_wire.py
+++ b/tests/wire/test_wire.py
@@ -6,7 +6,7 @@
 import pytest
 from loopback import Peer, looped, raw_server
 
-from curlewhall.wire import http
+from curlewhall.wire import http, server
 from curlewhall.wire.client import Pool
 from curlewhall.wire.server import Server, listen
 from curlewhall.wire.timers import Timers
@@ -280,3 +280,51 @@
         peer.close()
     assert all(exchange.hung_up() for exchange in taken)  # asked of the kernel, before anything is read
     assert [await rig.gone.get() for _ in range(2)] == taken and rig.asked.empty()
+
+
+@pytest.mark.parametrize("busy", ["nothing", "a request under way", "half a request"])
+@looped
+async def test_whoever_has_been_idle_longest_makes_room(busy):
+    """A crowd that says nothing takes no room from who asks; who is owed an answer, or is asking, stays."""
+    rig = Rig(connections=4)
+    first = await Peer.open(rig.port)
+    while not rig.server.connections:
+        await asyncio.sleep(0)
+    (line,) = rig.server.connections
+    if busy == "a request under way":
+        await first.send(GET % 0)
+        await rig.asked.get()
+    elif busy == "half a request":
+        await first.send((GET % 0)[:20])
+        while not line.half:
+            await asyncio.sleep(0)
+    crowd = [await Peer.open(rig.port) for _ in range(30)]
+    later = await Peer.open(rig.port)
+    await later.send(GET % 1)
+    exchange = await rig.asked.get()
+    assert exchange.request.target == "/1" and len(rig.server.connections) <= 4
+    exchange.reply(200)
+    assert (await later.message()).status == 200
+    assert line.closed == (busy == "nothing")
+    assert not rig.server.turned_away
+    for peer in crowd:
+        peer.close()
+
+
+def test_viewers_leave_descriptors_for_the_list_and_the_nodes(monkeypatch):
+    endless = server.resource.RLIM_INFINITY
+    for soft, most in ((1024, 600), (64, 24), (10, 1), (endless, 10_000), (1 << 20, 10_000)):
+        monkeypatch.setattr(server.resource, "getrlimit", lambda what, soft=soft: (soft, soft))
+        assert server.bearable(10_000) == most
+
+
+@looped
+async def test_who_has_just_asked_does_not_make_room():
+    """The request lies in the socket, unread, as room is made."""
+    rig = Rig(connections=2)
+    peers = [await Peer.open(rig.port) for _ in range(2)]
+    while len(rig.server.connections) < 2:
+        await asyncio.sleep(0)
+    peers[0].sock.send(GET % 0)
+    assert rig.server.make_room() and not rig.server.make_room()
+    assert (await rig.asked.get()).request.target == "/0" and await peers[1].closed()
