--- a/curlewhall/policy.py
+++ b/curlewhall/policy.py
@@ -342,12 +342,12 @@
         """How many plays of the whole fleet may come to a node in a window, two drawn of its holders."""
         # Danger: one set-up from each of a hundred fronts is a hundred; a title that all ask for, its other
         # holders full, brings them all to one node. Counted by cell; a front sees few, so 10 s are looked at,
-        # two plays added whose titles lie evenly over the cells, one more from the second on: crowds grow.
+        # two plays added whose titles lie evenly over the cells, and one where more come than usual.
         cells, long, came = max(1, self.card["specifics.places"]), 10 * SECOND, self.takes.since(now - window)
         seen, here = (self.wants[cell].since(now - long) if cell in self.wants else 0
                       for cell in (None, node.row.place % cells))
-        part = (here + 2 * len(ply.cells) / cells) / (seen + 2) * min(1, 2 / len(ply.nodes))
-        return max(came + (came > 1), seen * window / long) * part / self.own_part(now)
+        usual, part = seen * window / long, (here + 2 * len(ply.cells) / cells) / (seen + 2)
+        return max(came + (came > 1 + usual), usual) * part * min(1, 2 / len(ply.nodes)) / self.own_part(now)
 
     def capping(self, now, ply):
         """The lowest-importance product keeps to this front's slice where the node is above the fraction."""
