--- a/curlewhall/relay/nodes.py
+++ b/curlewhall/relay/nodes.py
@@ -9,7 +9,7 @@
 from curlewhall.codecs import rtsp
 from curlewhall.front.driver import SECOND, Driver, Held
 from curlewhall.interface import NodeRow
-from curlewhall.wire.line import Line, connect
+from curlewhall.wire.transport import Transport, connect
 from curlewhall.words import report_of
 
 from .decide import Silences, WaysIn
@@ -63,7 +63,7 @@
         self.settle(how if sent else "not_sent", {})
         if sent and connection.reader.data and time.monotonic() - connection.heard > TORN:
             # Danger: an answer that broke off would be gone on with by the next one.
-            connection.line.end("spoilt")
+            connection.transport.end("spoilt")
 
     def settle(self, how: str, report: dict) -> None:
         if self.state == SETTLED:
@@ -81,7 +81,7 @@
 class Connection:
     """One connection to a node."""
 
-    __slots__ = ("line", "node", "reader", "set_ups", "spent", "probes", "heard", "used", "tired",
+    __slots__ = ("transport", "node", "reader", "set_ups", "spent", "probes", "heard", "used", "tired",
                  "limit")
 
     def __init__(self, node: "Node") -> None:
@@ -90,7 +90,7 @@
         self.spent: dict[str, bool] = {}  # plays whose set-ups failed here -> given up: an answer may cross
         self.probes: dict[str, float] = {}
         self.heard = self.used = time.monotonic()
-        self.tired, self.limit, self.line = False, None, None  # tired: gets no set-up any more
+        self.tired, self.limit, self.transport = False, None, None  # tired: gets no set-up any more
 
     @property
     def idle(self) -> bool:
@@ -134,7 +134,8 @@
 
     def open_connections(self) -> list[Connection]:
         """Those that are up and trusted, the latest heard of first."""
-        return sorted((c for c in self.connections if c.line.open and not c.tired), key=lambda c: -c.heard)
+        sound = (c for c in self.connections if c.transport.open and not c.tired)
+        return sorted(sound, key=lambda c: -c.heard)
 
 
 class Nodes:
@@ -143,7 +144,7 @@
     def __init__(self, driver: Driver, loop, timers, most: int, log, seed: int) -> None:
         self.driver, self.loop, self.timers, self.most, self.log = driver, loop, timers, most, log
         self.nodes: dict[str, Node] = {}
-        self.connections: dict[Line, Connection] = {}
+        self.connections: dict[Transport, Connection] = {}
         self.connect_limit = driver.card["permissions.connect_timeout"] / SECOND
         self.streams = max(1, int(driver.card.get("permissions.streams_per_conn", 1)))
         self.probes, self.seed = 0, seed & 0xFFFFFFFF
@@ -196,7 +197,7 @@
 
     def shut(self, node: Node) -> None:
         for connection in list(node.connections):
-            connection.line.end("reset")
+            connection.transport.end("reset")
 
     # ---- connections
 
@@ -206,12 +207,12 @@
             return None
         connection = Connection(node)
         try:
-            connection.line = connect(self.loop, node.address, self)
+            connection.transport = connect(self.loop, node.address, self)
         except OSError as err:
             self.log.warning("no connection", node=node.id, why=err.strerror)
             return None
-        connection.limit = self.timers.after(self.connect_limit, connection.line.end, "unreached")
-        self.connections[connection.line] = connection
+        connection.limit = self.timers.after(self.connect_limit, connection.transport.end, "unreached")
+        self.connections[connection.transport] = connection
         node.connections.append(connection)
         return connection
 
@@ -225,9 +226,9 @@
         for connection in node.open_connections():
             if connection.set_ups or not connection.takes(play):
                 continue
-            if not connection.line.dead():
+            if not connection.transport.dead():
                 return connection
-            self.loop.call_soon(connection.line.readable)
+            self.loop.call_soon(connection.transport.readable)
             connection.tired = True
         most = max(1, min(EACH, self.most // max(1, len(self.nodes))))
         if len(node.connections) < most:
@@ -237,35 +238,35 @@
         shared = [c for c in node.connections if c.takes(play) and len(c.set_ups) < self.streams]
         return min(shared, key=lambda c: len(c.set_ups), default=None)
 
-    def opened(self, line: Line) -> None:
-        connection = self.connections[line]
+    def opened(self, transport: Transport) -> None:
+        connection = self.connections[transport]
         connection.limit.cancel()
         node, now = connection.node, time.monotonic()
         connection.heard = node.heard = now
         node.missed = 0
-        while node.unsaid and line.send(node.unsaid[0]):
+        while node.unsaid and transport.send(node.unsaid[0]):
             node.unsaid.pop(0)
         for session in connection.probes:
-            line.send(probe(session))
+            transport.send(probe(session))
         for set_up in list(connection.set_ups.values()):
             self.go(set_up, connection)
         for quiet in [c for c in node.connections if c is not connection and now - c.heard > QUIET]:
             self.retire(quiet)  # it may be dead without a word; this one lives
 
-    def ended(self, line: Line, why: str) -> None:
+    def ended(self, transport: Transport, why: str) -> None:
         """A connection is gone. What was never handed to it may go by another; the rest may have run."""
-        connection = self.connections.pop(line, None)
+        connection = self.connections.pop(transport, None)
         if connection is None:
             return
         node, torn = connection.node, bool(connection.reader.data)
         node.connections.remove(connection)
         connection.limit.cancel()
-        if not line.came_up:
+        if not transport.came_up:
             node.missed += 1
         if why == "unreached":
             self.silences.doubt(node.row.zone, time.monotonic())
         for name in list(connection.probes):
-            self.probe_ended(connection, name, "broken" if line.came_up else "unreached", {})
+            self.probe_ended(connection, name, "broken" if transport.came_up else "unreached", {})
         for set_up in list(connection.set_ups.values()):
             connection.set_ups.pop(set_up.play, None)
             set_up.connection = None
@@ -274,7 +275,7 @@
                     # Danger: its answer was on the way, so it stands there, and nobody would ever end it
                     self.cut(node, set_up.play)
                 set_up.settle("error" if why == "spoilt" else "broken", {})
-            elif line.came_up and not set_up.tries:
+            elif transport.came_up and not set_up.tries:
                 set_up.tries += 1  # nothing was handed over: another connection may be the better one
                 self.start(set_up)
             else:
@@ -288,19 +289,19 @@
 
         Danger: what its node has just written there, the end of a session for one, would be lost.
         """
-        if not connection.idle or connection.line.queue:
+        if not connection.idle or connection.transport.queue:
             return False
-        if connection.line.unread():
-            self.loop.call_soon(connection.line.readable)
+        if connection.transport.unread():
+            self.loop.call_soon(connection.transport.readable)
             return False
         self.forget(connection)
         return True
 
     def forget(self, connection: Connection) -> None:
-        self.connections.pop(connection.line, None)
+        self.connections.pop(connection.transport, None)
         connection.node.connections.remove(connection)
         connection.limit.cancel()
-        connection.line.close()
+        connection.transport.close()
 
     def keep(self, node: Node) -> None:
         """Where sessions stand the node needs a way to say that one is over."""
@@ -327,7 +328,7 @@
         now = time.monotonic()
         idle = self.driver.card.get("permissions.idle_close", 15 * SECOND) / SECOND * 0.6
         for node in list(self.nodes.values()):
-            for connection in [c for c in node.connections if c.line.open]:
+            for connection in [c for c in node.connections if c.transport.open]:
                 if connection.tired or (now - max(connection.used, connection.heard) > idle and
                                         (len(node.connections) > 1 or not node.standing)):
                     self.retire(connection)
@@ -337,7 +338,7 @@
                 if not node.connections:
                     self.keep(node)
                 elif (now - node.heard > self.silences.allowed(node.row.zone, now)
-                      and all(c.line.open for c in node.connections)):
+                      and all(c.transport.open for c in node.connections)):
                     self.open(node)
         if not self.closed:
             self.timers.after(LOOK, self.look)
@@ -382,7 +383,7 @@
             return
         set_up.connection = connection
         connection.set_ups[set_up.play] = set_up
-        if connection.line.open:
+        if connection.transport.open:
             self.go(set_up, connection)
         else:
             set_up.waited = True
@@ -402,13 +403,13 @@
                             Subject=facts.product, X_Patience=str(max(1, int(left * 1000))),
                             X_Rung=str(held.rung))
         connection.used = time.monotonic()
-        if connection.line.send(data):
+        if connection.transport.send(data):
             set_up.state = SENT
 
     def give_up(self, set_up: SetUp) -> None:
         """Tell the node that its answer is not waited for; one that crosses is cut."""
         connection, play = set_up.connection, set_up.play
-        self.end_told(set_up.node, play, connection.line.send(
+        self.end_told(set_up.node, play, connection.transport.send(
             rtsp.request("TEARDOWN", set_up.held.facts.title, play, 2)))
         connection.spent[play] = True
         if connection.heard < set_up.began:
@@ -453,11 +454,11 @@
     def say(self, node: Node, data: bytes) -> bool:
         """Say something that wants no answer, on an open connection, or on the next. Whether it went out."""
         for connection in node.open_connections():
-            if connection.line.send(data):
+            if connection.transport.send(data):
                 return True
         if node.row.state != "gone" and len(node.unsaid) < UNSAID:
             node.unsaid.append(data)
-            if all(c.line.open for c in node.connections):
+            if all(c.transport.open for c in node.connections):
                 self.open(node)
         return False
 
@@ -471,8 +472,8 @@
         session = f"{self.seed:08x}{self.probes & 0xFFFFFFFF:08x}"
         connection.probes[session] = time.monotonic()
         self.timers.after(PROBE, self.probe_late, connection, session)
-        if connection.line.open:
-            connection.line.send(probe(session))  # else once it is up
+        if connection.transport.open:
+            connection.transport.send(probe(session))  # else once it is up
 
     def pick_any(self, node: Node) -> Connection | None:
         """For a small question: any open connection, else one on its way, else a new one."""
@@ -493,21 +494,21 @@
 
     # ---- what a node says
 
-    def heard(self, line: Line, data: bytes) -> None:
-        connection = self.connections[line]
+    def heard(self, transport: Transport, data: bytes) -> None:
+        connection = self.connections[transport]
         connection.heard = connection.node.heard = time.monotonic()
         for message in connection.reader.feed(data):
             self.take(connection, message)
-            if line.over:
+            if transport.over:
                 return
         if connection.reader.why:
             self.log.warning("a node can't be read", node=connection.node.id, why=connection.reader.why)
-            line.end("spoilt")
+            transport.end("spoilt")
 
     def take(self, connection: Connection, message: rtsp.Message) -> None:
         node, play = connection.node, message.session
         if message.method == "TEARDOWN":
-            connection.line.send(rtsp.response(200, "OK", message))
+            connection.transport.send(rtsp.response(200, "OK", message))
             set_up, cause = connection.set_ups.get(play), message.cause()
             if set_up is not None and set_up.state == SENT:
                 if cause == 16 and message.body:
--- a/curlewhall/relay/viewers.py
+++ b/curlewhall/relay/viewers.py
@@ -12,7 +12,7 @@
 from curlewhall.codecs import messages
 from curlewhall.errors import Mishap
 from curlewhall.front.driver import Driver, Held
-from curlewhall.wire.line import Line
+from curlewhall.wire.transport import Transport
 from curlewhall.words import tenths
 
 SILENT = 2.0  # seconds to a connection's first sound message, or for one half sent; 3 s are allowed from its
@@ -63,7 +63,7 @@
 
     def hung_up(self) -> bool:
         """Whether its viewer has ended the connection, though that was not read yet."""
-        return self.connection is None or self.connection.line.dead()
+        return self.connection is None or self.connection.transport.dead()
 
 
 class Connection:
@@ -71,10 +71,10 @@
     nothing is owed on it; it is still read, so that a release, or its end, is heard of.
     """
 
-    __slots__ = ("line", "reader", "since", "heard", "partial", "open", "stands", "sound", "parting")
+    __slots__ = ("transport", "reader", "since", "heard", "partial", "open", "stands", "sound", "parting")
 
     def __init__(self, now: float) -> None:
-        self.line, self.reader = None, messages.Reader()
+        self.transport, self.reader = None, messages.Reader()
         self.since = self.heard = now  # when it came; when a session of it last changed
         self.partial = 0.0  # since when a message is half here; 0: none is
         self.open: dict[str, Session] = {}  # set-ups that are owed an answer
@@ -95,7 +95,7 @@
         self.products = {p["name"]: (floors[i], PATIENT * p["time_limit"])
                          for i, p in enumerate(card["products"])}
         self.places, self.rungs = max(1, card["specifics.places"]), len(card["specifics.rung_kb"])
-        self.connections: dict[Line, Connection] = {}
+        self.connections: dict[Transport, Connection] = {}
         self.sessions: dict[str, Session] = {}
         self.waiting: OrderedDict[str, tuple[float, bytes]] = OrderedDict()  # releases without a connection
         self.usual: OrderedDict[Connection, None] = OrderedDict()  # those that were served, latest last
@@ -132,11 +132,11 @@
             sock.setblocking(False)
             connection = Connection(time.monotonic())
             try:
-                connection.line = Line(self.loop, sock, self)
+                connection.transport = Transport(self.loop, sock, self)
             except OSError:
                 sock.close()
                 continue
-            self.connections[connection.line] = connection
+            self.connections[connection.transport] = connection
         return True
 
     def again(self) -> None:
@@ -165,17 +165,17 @@
         The only place where this side closes one. Danger: what lies unread in the kernel is lost with it, and
         it may be a set-up that was taken; an answer that a slow reader has yet to take is cut.
         """
-        if connection.line.over:
+        if connection.transport.over:
             return True
         if connection.open:
             return False
-        if connection.line.queue and time.monotonic() - connection.line.moved < SLOW:
+        if connection.transport.queue and time.monotonic() - connection.transport.moved < SLOW:
             return False
-        if connection.line.unread():
-            connection.line.readable()
-            if connection.line.over:
+        if connection.transport.unread():
+            connection.transport.readable()
+            if connection.transport.over:
                 return True
-            if connection.open or not connection.parting and connection.line.unread():
+            if connection.open or not connection.parting and connection.transport.unread():
                 return False
         if connection.reader.data and not torn and not connection.parting:
             return False
@@ -183,12 +183,12 @@
         return True
 
     def drop(self, connection: Connection) -> None:
-        connection.line.close()
-        self.ended(connection.line, "dropped")
+        connection.transport.close()
+        self.ended(connection.transport, "dropped")
 
-    def ended(self, line: Line, why: str) -> None:
+    def ended(self, transport: Transport, why: str) -> None:
         """A connection is gone, and with it the set-ups that were open on it."""
-        connection = self.connections.pop(line)
+        connection = self.connections.pop(transport)
         self.usual.pop(connection, None)
         for session in list(connection.open.values()):
             self.give_up(session)
@@ -199,8 +199,8 @@
         """Close what says nothing, ends nothing or has nothing more to say; send releases that wait."""
         now = time.monotonic()
         for connection in list(self.connections.values()):
-            if connection.line.unread():
-                connection.line.readable()  # a busy core: what it said in time counts
+            if connection.transport.unread():
+                connection.transport.readable()  # a busy core: what it said in time counts
             if connection.parting:
                 self.close_clear(connection)
             elif not connection.sound and now - connection.since > SILENT:
@@ -218,11 +218,11 @@
         connection.parting = True
         self.loop.call_soon(self.close_clear, connection)  # what came with this piece is taken first
 
-    def heard(self, line: Line, data: bytes) -> None:
-        connection = self.connections[line]
+    def heard(self, transport: Transport, data: bytes) -> None:
+        connection = self.connections[transport]
         for message in connection.reader.feed(data):
             self.take(connection, message)
-            if line.over:
+            if transport.over:
                 return
         if connection.reader.why:
             if not connection.parting:
@@ -237,14 +237,14 @@
         if kind == messages.TEST:
             connection.sound, connection.heard = True, time.monotonic()
             passed = b"\1" if self.ready else b"\0"
-            connection.line.send(messages.message(messages.TESTED, name, cause=passed))
+            connection.transport.send(messages.message(messages.TESTED, name, cause=passed))
         elif kind == messages.SET_UP:
             if not connection.parting:
                 self.set_up(connection, message)
         elif kind == messages.RELEASE:
             session = self.sessions.get(name)
             cause = message.fields.get(messages.CAUSE, b"")
-            connection.line.send(messages.message(messages.HEARD, name))
+            connection.transport.send(messages.message(messages.HEARD, name))
             if session is not None:
                 connection.heard = time.monotonic()
                 if session.stands:
@@ -259,11 +259,11 @@
         self.shut()
         if not self.refusing:
             for connection in list(self.connections.values()):
-                if connection.line.unread():
-                    connection.line.readable()  # it came in time, while this front was busy
+                if connection.transport.unread():
+                    connection.transport.readable()  # it came in time, while this front was busy
             self.refusing = True
         for connection in sorted(self.connections.values(), key=lambda c: bool(c.stands)):
-            if not self.close_clear(connection, torn=last) and last and not connection.line.queue:
+            if not self.close_clear(connection, torn=last) and last and not connection.transport.queue:
                 self.drop(connection)
         return len(self.connections)
 
@@ -277,7 +277,7 @@
         except SetUpRefused as err:
             self.log.warning("a set-up that can't be taken", session=name, why=err.told)
             if known is None or known.connection is not connection:
-                connection.line.send(messages.message(messages.RELEASE, name, cause=bytes((WRONG,))))
+                connection.transport.send(messages.message(messages.RELEASE, name, cause=bytes((WRONG,))))
             return
         if "at" in figures:
             if known is None:
@@ -294,7 +294,7 @@
             # Danger: clients that never stop sending would keep the connection open until the process is
             # killed, and what is unanswered then is lost. A refusal does no harm: they ask another front.
             self.refused += 1
-            connection.line.send(messages.message(messages.RELEASE, name, cause=bytes((DECLINED,))))
+            connection.transport.send(messages.message(messages.RELEASE, name, cause=bytes((DECLINED,))))
             return
         now = self.driver.clock.now()
         session = Session(name, connection, message.fields[messages.DESCRIPTION])
@@ -383,7 +383,7 @@
             return None
         connection = session.connection
         self.forget(session)
-        connection.line.send(data)
+        connection.transport.send(data)
         if connection.parting and not connection.open:
             self.loop.call_soon(self.close_clear, connection)  # the play has yet to be put down as one here
         return session
@@ -414,7 +414,7 @@
         session = self.sessions.get(held.facts.play)
         if session is not None and session.connection is not None:
             # Danger: it may be over at its node already, and then a release is owed: the node's side tells.
-            session.connection.line.send(messages.message(messages.MOVE, session.id))
+            session.connection.transport.send(messages.message(messages.MOVE, session.id))
 
     def over(self, play: str, cause: int, owed: bool = True) -> None:
         """A session that stood has come to its end at its node."""
@@ -430,7 +430,7 @@
             return
         connection = session.connection
         self.forget(session)
-        if connection is None or not connection.line.send(data):
+        if connection is None or not connection.transport.send(data):
             self.waiting[play] = time.monotonic(), data
             self.flush(time.monotonic())
 
@@ -443,7 +443,7 @@
                 # Danger: a bad viewer's connection would swallow it; one with a sound message hardly.
                 connection = next((c for c in reversed(self.connections.values())
                                    if c.sound and not c.parting), None)
-            if now - since > KEPT or (connection is not None and connection.line.send(data)):
+            if now - since > KEPT or (connection is not None and connection.transport.send(data)):
                 del self.waiting[play]
             elif connection is not None:
                 self.usual.pop(connection, None)
@@ -463,6 +463,6 @@
 
     def close(self) -> None:
         self.shut()
-        for line in list(self.connections):
-            line.close()
+        for transport in list(self.connections):
+            transport.close()
         self.connections.clear()
--- a/curlewhall/wire/server.py
+++ b/curlewhall/wire/server.py
@@ -15,8 +15,8 @@
 from collections.abc import Callable
 
 from .http import Limits, Message, MessageRefused, Requests, chunk, response_head
-from .line import ended_by_peer
 from .timers import Timers
+from .transport import ended_by_peer
 
 LOOK = 0.05  # seconds between two looks at a client that is not read from: gone, it is forgotten within 0.1 s
 READ = 2048  # bytes of a connection's own buffer: a viewer's request takes a few hundred
--- a/curlewhall/wire/line.py
+++ b/curlewhall/wire/transport.py
@@ -1,8 +1,8 @@
 """One connection that never blocks and belongs to one owner: bytes in, bytes out, and how it ended.
 
-Many lines share one buffer for reading, so that a line that is silent costs a socket and little else. The
-owner is called as `opened(line)`, `heard(line, data)` and `ended(line, why)`, the last once and never from
-within a call of the owner's.
+Many share one buffer for reading, so that one that is silent costs a socket and little else. The owner is
+called as `opened(transport)`, `heard(transport, data)` and `ended(transport, why)`, the last once and never
+from within a call of the owner's.
 """
 
 import errno
@@ -11,9 +11,9 @@
 import time
 
 HUNG_UP = getattr(select, "POLLRDHUP", 0)  # Linux; elsewhere an end behind unread bytes is seen later
-BUFFER = bytearray(16384)  # of all lines: one thread reads, and gives away what it read before it reads again
+BUFFER = bytearray(16384)  # of all: one thread reads, and gives away what it read before it reads again
 VIEW = memoryview(BUFFER)
-QUEUED = 1 << 16  # bytes that wait for a slow reader; four messages of the longest kind, then the line ends
+QUEUED = 1 << 16  # bytes that wait for a slow reader; four messages of the longest kind, then it ends
 
 
 def ended_by_peer(sock: socket.socket) -> bool:
@@ -33,7 +33,7 @@
     return bool(poll.poll(0))
 
 
-class Line:
+class Transport:
     """A socket with its owner. `why` of an end: refused, unreached, closed, reset, full, or the owner's."""
 
     __slots__ = ("loop", "sock", "owner", "queue", "open", "over", "came_up", "moved")
@@ -134,8 +134,8 @@
             self.owner.ended(self, why)
 
 
-def connect(loop, address: tuple[str, int], owner) -> Line:
-    """A line on its way to `address`; `OSError` where not even a socket is to be had."""
+def connect(loop, address: tuple[str, int], owner) -> Transport:
+    """A transport on its way to `address`; `OSError` where not even a socket is to be had."""
     family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
     sock = socket.socket(family, socket.SOCK_STREAM)
     try:
@@ -144,11 +144,11 @@
         code = sock.connect_ex(address)
         if code not in (0, errno.EINPROGRESS, errno.EWOULDBLOCK, errno.ECONNREFUSED):
             raise OSError(code, "can't connect")
-        line = Line(loop, sock, owner, fresh=True)
+        transport = Transport(loop, sock, owner, fresh=True)
     except OSError:
         sock.close()
         raise
     if code == errno.ECONNREFUSED:
         loop.remove_writer(sock.fileno())
-        loop.call_soon(line.end, "refused")
-    return line
+        loop.call_soon(transport.end, "refused")
+    return transport
--- a/tests/relay/test_crossings.py
+++ b/tests/relay/test_crossings.py
@@ -15,7 +15,7 @@
 from curlewhall.codecs import messages, rtsp
 from curlewhall.codecs.messages import ANSWER, RELEASE
 from curlewhall.relay import decide, nodes, viewers
-from curlewhall.wire.line import Line
+from curlewhall.wire.transport import Transport
 
 
 @pytest.fixture
@@ -33,16 +33,16 @@
         monkeypatch.setattr(nodes, "connect", self.ask)
 
     def ask(self, loop, address, owner):
-        line = self.connect(loop, address, owner)
-        loop.remove_writer(line.sock.fileno())
-        self.waiting.append(line)
-        return line
+        transport = self.connect(loop, address, owner)
+        loop.remove_writer(transport.sock.fileno())
+        self.waiting.append(transport)
+        return transport
 
     def let_in(self):
         waiting, self.waiting = self.waiting, []
-        for line in waiting:
-            if not line.over:
-                line.connected()
+        for transport in waiting:
+            if not transport.over:
+                transport.connected()
 
 
 @pytest.fixture
@@ -239,10 +239,10 @@
         connection.sound = why != "silent"
         reply = messages.message(messages.TESTED, "0" * 16, cause=b"\1")
         sent = 0
-        while not connection.line.queue:  # the kernel's buffers are full
-            sent += connection.line.send(reply * 1000) and 1000
+        while not connection.transport.queue:  # the kernel's buffers are full
+            sent += connection.transport.send(reply * 1000) and 1000
         clock.now += after
-        connection.line.moved = clock.now
+        connection.transport.moved = clock.now
         closer(place)
         await place.settle()
         for _ in range(1000):
@@ -261,15 +261,15 @@
         client = Client(place)
         await place.settle()
         clock.now += viewers.SILENT + 0.1
-        unread, looks = Line.unread, []
+        unread, looks = Transport.unread, []
 
-        def late(line):
-            looks.append(unread(line))
+        def late(transport):
+            looks.append(unread(transport))
             if len(looks) == 1:
                 client.ask("e" * 16)
             return looks[-1]
 
-        monkeypatch.setattr(Line, "unread", late)
+        monkeypatch.setattr(Transport, "unread", late)
         place.relay.viewers.look()
         await place.settle()
         assert not looks[0] and [m.kind for m in client.answers("e" * 16)] == [ANSWER]
@@ -300,8 +300,8 @@
         await place.settle()
         (connection,) = place.relay.viewers.connections.values()
         connection.sound = True
-        while not connection.line.queue:
-            connection.line.send(b"\0" * 10_000)
+        while not connection.transport.queue:
+            connection.transport.send(b"\0" * 10_000)
         await place.advance(viewers.IDLE + 1)
         assert place.relay.viewers.connections
         await place.advance(viewers.SLOW)
@@ -653,7 +653,7 @@
         doors.waiting.clear()
         second.connected()
         await place.settle()
-        assert other.line is second and not place.platform.of("asked for load")
+        assert other.transport is second and not place.platform.of("asked for load")
         first.connected()
         await place.settle()
         assert heard == ["ok"] and len(place.platform.of("asked for load")) == 1
