--- a/tests/relay/test_standing.py
+++ b/tests/relay/test_standing.py
@@ -22,11 +22,12 @@
     def __init__(self, tmp_path):
         self.platform, self.tmp_path, self.fronts = Platform(), tmp_path, []
 
-    async def open(self, nodes=2, fronts=1, since=0, **settings):
+    async def open(self, nodes=2, fronts=1, since=0, unlisted=(), **settings):
         for i in range(nodes):
             await self.platform.add(f"n{i}")
         await self.platform.channel.start()
-        members = [self.platform.member(name, since=since) for name in self.platform.nodes]
+        members = [self.platform.member(name, since=since) for name in self.platform.nodes
+                   if name not in unlisted]
         known = {"cursor": 1, "cmds": [{"cursor": 1, "nodes": {"complete": True, "members": members}}]}
         for i in range(fronts):
             text = json.dumps(config(name=f"n{i}", seed=f"{i + 1:x}", known=known,
@@ -182,6 +183,45 @@
         place.close()
 
 
+@pytest.mark.days
+@looped
+async def test_a_title_that_all_ask_for_does_not_push_over_the_one_holder_that_has_room(tmp_path):
+    """Thirty processes, four nodes. Three refuse as full; the fourth has just started, and each front hears
+    of it from the channel, in its own time. A front alone sees a thirtieth of the crowd.
+    """
+    fronts, settings = 30, config()["settings"]
+    settings["n-instances"] = fronts
+    settings["specifics"]["kind-streams"] = [10]
+    settings["invariants"]["warm-within-ms"] = 1500.0
+    place = await Deployment(tmp_path).open(nodes=4, fronts=fronts, unlisted=("n0",), settings=settings)
+    times, platform = [], place.platform
+    for name in ("n1", "n2", "n3"):
+        platform.nodes[name].does = "full"
+    try:
+        viewers = [await place.viewer(i) for i in range(fronts)]
+        await asyncio.sleep(1.6)  # all that a young front finds is warm to it by then; longer does no harm
+        seen = platform.saw
+        platform.saw = lambda side, what, session, value="": (
+            times.append(time.monotonic()) if what == "set-up" and side == "n0" else None,
+            seen(side, what, session, value))
+        platform.channel.tell(2, [platform.member("n0", since=int(time.time() * 1000))])
+        names = []
+        for turn in range(10):
+            names += [(viewer, viewer.ask(patience="900")) for i, viewer in enumerate(viewers)
+                      if turn % 2 == 0 or i % 3 == 0]
+            await asyncio.sleep(0.03)
+        for viewer, name in names:
+            await viewer.hear(name)
+        invariants = settings["invariants"]
+        window = invariants["fall-ms"] / 1000
+        bears = (invariants["overload-factor"] * invariants["start-capacity"] * 10 * window
+                 / (invariants["warm-within-ms"] / 1000))
+        most = max((sum(t <= other < t + window for other in times) for t in times), default=0)
+        assert 0 < most <= bears + 2 * math.sqrt(bears) + 2 and not platform.broken()
+    finally:
+        place.close()
+
+
 def other(lanes, **specifics):
     """The settings with other products: name, worth, effect, time limit in ms, floor, highest rung, scale."""
     settings = config()["settings"]
