--- a/curlewhall/relay/viewers.py
+++ b/curlewhall/relay/viewers.py
@@ -165,23 +165,27 @@
         The only place where this side closes one. Danger: what lies unread in the kernel is lost with it, and
         it may be a set-up that was taken; an answer that a slow reader has yet to take is cut.
         """
-        if connection.transport.over:
+        transport = connection.transport
+        if transport.over:
             return True
-        if connection.open:
+        if self.owes(connection):
             return False
-        if connection.transport.queue and time.monotonic() - connection.transport.moved < SLOW:
-            return False
-        if connection.transport.unread():
-            connection.transport.readable()
-            if connection.transport.over:
+        if transport.unread():
+            transport.readable()
+            if transport.over:
                 return True
-            if connection.open or not connection.parting and connection.transport.unread():
+            if self.owes(connection) or not connection.parting and transport.unread():
                 return False
         if connection.reader.data and not torn and not connection.parting:
             return False
         self.drop(connection)
         return True
 
+    def owes(self, connection: Connection) -> bool:
+        """Whether a set-up is open there, or an answer has yet to be taken by one who takes anything."""
+        taken = time.monotonic() - connection.transport.moved
+        return bool(connection.open) or bool(connection.transport.queue) and taken < SLOW
+
     def drop(self, connection: Connection) -> None:
         connection.transport.close()
         self.ended(connection.transport, "dropped")
--- a/tests/relay/test_crossings.py
+++ b/tests/relay/test_crossings.py
@@ -6,6 +6,7 @@
 import asyncio
 import contextlib
 import random
+import socket
 import time
 
 import pytest
@@ -293,6 +294,30 @@
         assert client.closed()
 
 
+@looped
+async def test_what_was_said_just_before_a_close_is_answered_wholly(tmp_path, clock):
+    """Its answers are more than the kernel takes from this side at once."""
+    async with town(tmp_path, clock=clock) as place:
+        client = Client(place)
+        await place.settle()
+        (connection,) = place.relay.viewers.connections.values()
+        connection.sound = True
+        connection.transport.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2048)
+        client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+        test, sent = messages.message(messages.TEST, "0" * 16, cause=b"\0"), 0
+        while not connection.transport.queue:
+            client.say(test * 500)
+            sent += 500
+            assert not place.relay.viewers.close_clear(connection)  # it reads, answers, and keeps it
+        for _ in range(1000):
+            client.closed()
+            await place.settle()
+            if len(client.heard) == sent:
+                break
+        assert len(client.heard) == sent
+        client.close()
+
+
 @looped
 async def test_who_reads_nothing_is_closed_in_the_end(tmp_path, clock):
     async with town(tmp_path, clock=clock) as place:
