--- a/tests/front/test_parting.py
+++ b/tests/front/test_parting.py
@@ -10,6 +10,7 @@
 
 from curlewhall.dash import manifest, tokens
 from curlewhall.drills.baselines import TwoDrawn
+from curlewhall.front import parting
 from curlewhall.front.parting import AUDIENCE
 from curlewhall.front.sharing import order, takes
 from curlewhall.wire import forms
@@ -101,6 +102,40 @@
         assert again.status == (409 if status == 204 else status)
 
 
+@looped
+async def test_an_offer_that_is_answered_late_is_made_to_no_other(tmp_path):
+    """The peer has asked the node; its word comes after the giver's patience. One front holds the play."""
+    async with town(tmp_path, TwoDrawn, nodes=3, fronts=3) as place:
+        leaving = place.fronts[0]
+        await place.ask(viewer="v")
+        peers, offers, gate = [await place.front(TwoDrawn, index) for index in (1, 2)], [], asyncio.Event()
+        (held,) = leaving.driver.plays.values()
+
+        async def later(taking, call, *facts):
+            await gate.wait()
+            call(*facts)
+
+        for peer in peers:
+            taking = peer.viewers.taking
+            offered, taken = taking.offered, taking.taken
+            taking.offered = lambda exchange, offered=offered: (offers.append(exchange), offered(exchange))
+            taking.taken = lambda *facts, taking=taking, taken=taken: place.fleet.loop.create_task(
+                later(taking, taken, *facts))
+        parting.LIMIT, limit = 0.2, parting.LIMIT
+        try:
+            giving = asyncio.ensure_future(parting.Giving(leaving).one(held))
+            await until(lambda: offers)
+            await giving  # its patience is over
+        finally:
+            parting.LIMIT = limit
+        gate.set()
+        holder = [peer for peer in peers if held.facts.play in peer.driver.elsewhere]
+        await until(lambda: not any(peer.driver.elsewhere for peer in peers))
+        assert len(offers) == len(holder) == 1
+        assert [held.facts.play in peer.driver.plays for peer in peers].count(True) == 1
+        assert len(place.rows("setup")) == 1
+
+
 @looped
 async def test_two_that_leave_together_give_each_other_nothing(tmp_path):
     async with town(tmp_path, TwoDrawn, nodes=3, fronts=2) as place:
