Fleet test: several processes of the relay, drawn faults between them, rules judged on the sockets

Four fronts as processes, five nodes and two that start meanwhile; each front reaches each node and its channel by a link of its own that is reset within a message, held or slowed in one direction; fronts are killed, asked to leave and started again; nodes drain, start, refuse, answer twice or not at all; eight clients never stop sending, give up, hang up.

--- a/curlewhall/standins/platform.py
+++ b/curlewhall/standins/platform.py
@@ -13,6 +13,8 @@
 
 from curlewhall.codecs import messages, rtsp
 
+from .links import End, Trouble, Way, nobody, reset
+
 RST = struct.pack("ii", 1, 0)
 # what a node does with a set-up
 REFUSE = {"full": 453, "error": 500, "moot": 454, "reset": 504}
@@ -207,7 +209,8 @@
         self.events.append((number, data))
         raw = self.event(number, data) * (2 if twice else 1)
         for writer in self.lines:
-            writer.write(raw[:torn] if torn else raw)
+            if not writer.is_closing():  # a front that has hung up, or died
+                writer.write(raw[:torn] if torn else raw)
         if torn:
             self.hang_up()
 
@@ -222,6 +225,37 @@
         self.hang_up()
 
 
+class Link:
+    """One front's way to a node or to the channel: carried byte by byte, with the faults of `links.Trouble`
+    for each direction, `there` and `back`. What it leads to may change (`behind`, a port; 0: nobody).
+    """
+
+    def __init__(self, behind: int) -> None:
+        self.behind, self.there, self.back, self.server, self.port = behind, Trouble(), Trouble(), None, 0
+
+    async def start(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(self.carry, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    def carry(self) -> End:
+        loop = asyncio.get_running_loop()
+        there, back = Way(loop, self.there, nobody, nobody), Way(loop, self.back, nobody, nobody)
+        loop.create_task(self.join(there, back))
+        return End(there, back)
+
+    async def join(self, there: Way, back: Way) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            await loop.create_connection(lambda: End(back, there), "127.0.0.1", self.behind)
+        except OSError:
+            reset(there.source)  # nobody is there: the front sees a reset, which proves nothing
+
+    def close(self) -> None:
+        if self.server is not None:
+            self.server.close()
+
+
 ENDINGS = (messages.ANSWER, messages.RELEASE, messages.MOVE)
 
 
