--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -25,7 +25,7 @@
     Plays come at random, `crowd` times N in a window over the whole fleet; `lean` spreads them unevenly over
     the fronts. `titles`: how many there are, 0 for one that all ask for. `full`: the other nodes refuse.
     `heard`: seconds within which fronts hear of the start. `born`: seconds, counted from the start, between
-    which the fronts start. `surge`: so many times more come from the start on. `warm`: n0 is an old node, too.
+    which the fronts start. `surge`: so many times more come from the start on. `warm`: n0 is old, too.
     """
 
     def __init__(self, seed, fronts, nodes, crowd, streams=8, lean=0.0, titles=40, full=False, heard=0.0,
