A viewer that gave up, though nobody has read it yet, is sent for no more

Seen by reading: Session.hung_up asked the kernel for the connection's end alone. A release with cause 16 (the set-up is given up) that lies unread behind the set-up, or while a refusal or a connection to a node comes, let allocations go out, first and further: on a busy core over 0.1 s after it. Ruled out: the driver (it asks at each allocation), releases in time (read as ever). Mended where it is asked: what was said is read before (Viewers.gone), 64 messages ahead at most, and taken in its turn; a flood yields after each piece as before. Also, found in the same reading: a node that starts anew at another address left what stood at the process before standing for good (Nodes.listed, an elif); both cases end it now. Test clients send without Nagle's wait, else a release is held back for 40 ms and the crossing isn't forced.

--- a/curlewhall/relay/nodes.py
+++ b/curlewhall/relay/nodes.py
@@ -166,13 +166,13 @@
                     self.nodes[row.node] = Node(row, address)
                 continue
             old, node.row = node.row, row
-            if address != node.address:
-                node.address = address
-                self.shut(node)
-            elif row.started > old.started:
+            if row.started > old.started:
                 # Danger: sessions of the process before are over, and no release tells of it.
                 for play in [p for p, began in node.standing.items() if began < row.started]:
                     self.over(node, play, "broken", LOST)
+            if address != node.address:
+                node.address = address
+                self.shut(node)
             if row.state == "gone" != old.state:
                 self.timers.after(WAIT, self.left, node)
         for node in [n for n in self.nodes.values() if whole and n.id not in named and n.row.state != "gone"]:
--- a/curlewhall/relay/viewers.py
+++ b/curlewhall/relay/viewers.py
@@ -6,7 +6,7 @@
 
 import re
 import time
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from typing import NamedTuple
 
 from curlewhall.codecs import messages
@@ -21,6 +21,7 @@
 IDLE = 6.0  # seconds without any session; viewers themselves close after 4
 SOON = 0.4  # seconds that a release waits for a connection known to be a usual viewer's; 1 s is allowed
 KEPT = 8.0  # seconds after which a release that nobody came for is dropped: nothing counts it any more
+AHEAD = 64  # messages that may be read before those that came first are taken: a flood must not pile up
 SLOW = 8.0  # seconds in which a client takes nothing of what is written to it until it is closed all the same
 YOUNG = 0.25  # seconds in which a new client's first bytes come, many times the way
 AT_ONCE, SHUT = 64, 64  # connections accepted in one turn of the loop; such turns before the door is shut
@@ -55,15 +56,16 @@
 class Session:
     """A play on the viewers' side, from its set-up until it is over: `Held.exchange` of the driver."""
 
-    __slots__ = ("id", "connection", "description", "answer", "held", "stands")
+    __slots__ = ("id", "viewers", "connection", "description", "answer", "held", "stands")
 
-    def __init__(self, name: str, connection: "Connection", description: bytes = b"") -> None:
-        self.id, self.connection, self.description, self.answer = name, connection, description, b""
-        self.held, self.stands = None, False
+    def __init__(self, name: str, viewers: "Viewers", connection: "Connection",
+                 description: bytes = b"") -> None:
+        self.id, self.viewers, self.connection, self.description = name, viewers, connection, description
+        self.answer, self.held, self.stands = b"", None, False
 
     def hung_up(self) -> bool:
-        """Whether its viewer has ended the connection, though that was not read yet."""
-        return self.connection is None or self.connection.transport.dead()
+        """Whether its viewer has gone, though that was not taken yet: ended the connection, or gave up."""
+        return self.connection is None or self.viewers.gone(self)
 
 
 class Connection:
@@ -71,10 +73,13 @@
     nothing is owed on it; it is still read, so that a release, or its end, is heard of.
     """
 
-    __slots__ = ("transport", "reader", "since", "heard", "partial", "open", "stands", "sound", "parting")
+    __slots__ = ("transport", "reader", "came", "taking", "since", "heard", "partial", "open", "stands",
+                 "sound", "parting")
 
     def __init__(self, now: float) -> None:
         self.transport, self.reader = None, messages.Reader()
+        self.came: deque[messages.Message] = deque()  # read, and not taken yet
+        self.taking = False
         self.since = self.heard = now  # when it came; when a session of it last changed
         self.partial = 0.0  # since when a message is half here; 0: none is
         self.open: dict[str, Session] = {}  # set-ups that are owed an answer
@@ -168,6 +173,7 @@
         transport = connection.transport
         if transport.over:
             return True
+        self.take_all(connection)
         if self.owes(connection):
             return False
         if transport.unread():
@@ -182,9 +188,9 @@
         return True
 
     def owes(self, connection: Connection) -> bool:
-        """Whether a set-up is open there, or an answer has yet to be taken by one who takes anything."""
+        """Whether a set-up is open there or has yet to be taken, or an answer by one who takes anything."""
         taken = time.monotonic() - connection.transport.moved
-        return bool(connection.open) or bool(connection.transport.queue) and taken < SLOW
+        return bool(connection.open or connection.came) or bool(connection.transport.queue) and taken < SLOW
 
     def drop(self, connection: Connection) -> None:
         connection.transport.close()
@@ -194,6 +200,11 @@
         """A connection is gone, and with it the set-ups that were open on it."""
         connection = self.connections.pop(transport)
         self.usual.pop(connection, None)
+        while connection.came:
+            # Danger: a session that stands is over for its viewer, though what said so has ended
+            message = connection.came.popleft()
+            if message.kind == messages.RELEASE:
+                self.take(connection, message)
         for session in list(connection.open.values()):
             self.give_up(session)
         for session in connection.stands.values():
@@ -224,17 +235,49 @@
 
     def heard(self, transport: Transport, data: bytes) -> None:
         connection = self.connections[transport]
-        for message in connection.reader.feed(data):
-            self.take(connection, message)
-            if transport.over:
-                return
-        if connection.reader.why:
-            if not connection.parting:
-                self.part(connection)
-        elif not connection.reader.data:
+        connection.came += connection.reader.feed(data)
+        if not connection.reader.data:
             connection.partial = 0.0
         elif not connection.partial or len(connection.reader.data) <= len(data):
             connection.partial = time.monotonic()  # a message that has begun with this piece
+        self.take_all(connection)
+
+    def take_all(self, connection: Connection) -> None:
+        """Take what was read, in its order; what is read meanwhile has the next turn, so that others have
+        theirs.
+        """
+        if connection.taking:
+            return
+        connection.taking = True
+        try:
+            for _ in range(len(connection.came)):
+                if connection.came:
+                    self.take(connection, connection.came.popleft())
+        finally:
+            connection.taking = False
+        if connection.came:
+            self.loop.call_soon(self.take_all, connection)
+        elif connection.reader.why and not connection.parting:
+            self.part(connection)
+
+    def gone(self, session: Session) -> bool:
+        """Whether a session's viewer has ended its connection, or given the set-up up there.
+
+        Danger: on a busy core either lies unread, and an allocation would go out for nobody. So what was said
+        is read now; it is taken in its turn.
+        """
+        connection = session.connection
+        transport, taking = connection.transport, connection.taking
+        if transport.dead():
+            return True
+        connection.taking = True
+        while len(connection.came) < AHEAD and transport.unread():
+            transport.readable()
+        connection.taking = taking
+        if connection.came and not taking:
+            self.loop.call_soon(self.take_all, connection)
+        return transport.over or any(m.kind == messages.RELEASE and m.session == session.id
+                                     for m in connection.came)
 
     def take(self, connection: Connection, message: messages.Message) -> None:
         kind, name = message.kind, message.session
@@ -301,7 +344,7 @@
             connection.transport.send(messages.message(messages.RELEASE, name, cause=bytes((DECLINED,))))
             return
         now = self.driver.clock.now()
-        session = Session(name, connection, message.fields[messages.DESCRIPTION])
+        session = Session(name, self, connection, message.fields[messages.DESCRIPTION])
         held = Held(facts, facts, session, now + limit, now)
         session.held = held
         self.sessions[name] = connection.open[name] = session
@@ -346,7 +389,7 @@
 
     def resume(self, connection: Connection, facts: Facts, node: str) -> None:
         """A session that plays at its node already: adopted, without an answer."""
-        session = Session(facts.play, connection)
+        session = Session(facts.play, self, connection)
         if not self.driver.nodes.adopt(facts.play, node):
             self.log.warning("a session at a node that is not listed", node=node)
             return
--- a/tests/relay/test_crossings.py
+++ b/tests/relay/test_crossings.py
@@ -66,12 +66,21 @@
         client.say(set_up("e" * 16)[:30])
 
 
-STATES = ("plain", "other set-ups open", "no set-up taken any more", "a set-up under another's id",
-          "half a message")
+WHOLE = ("plain", "other set-ups open", "a set-up under another's id")
+STATES = (*WHOLE, "no set-up taken any more", "half a message")  # after these a release can't be told apart
+GONE = [(how, state) for how in ("close", "half-close", "reset", "release")
+        for state in (WHOLE if how == "release" else STATES)]
 
 
-@pytest.mark.parametrize("how", ["close", "half-close", "reset", "release"])
-@pytest.mark.parametrize("state", STATES)
+def go(client, how, name):
+    """A client ends its connection, or gives its set-up up; it lies in the socket, unread."""
+    if how == "release":
+        client.release(name)
+    else:
+        client.close(how)
+
+
+@pytest.mark.parametrize("how, state", GONE)
 @looped
 async def test_gone_while_its_set_up_waits_for_a_connection(tmp_path, doors, how, state):
     """The end lies in the socket, unread, as the connection comes up: a core was busy."""
@@ -83,13 +92,7 @@
         await place.settle()
         beside(client, state, place)
         await place.settle()
-        if how == "release":
-            if state in ("no set-up taken any more", "half a message"):
-                return  # what follows can't be told apart any more
-            client.release(name)
-            await place.settle()  # a release is read like any message
-        else:
-            client.close(how)
+        go(client, how, name)
         doors.let_in()
         await place.settle()
         gone = {s for _, s in place.sent()}
@@ -98,8 +101,7 @@
         first.close()
 
 
-@pytest.mark.parametrize("how", ["close", "half-close", "reset", "release"])
-@pytest.mark.parametrize("state", STATES)
+@pytest.mark.parametrize("how, state", GONE)
 @looped
 async def test_gone_while_its_first_allocation_is_out(tmp_path, clock, how, state):
     """No further one begins, whatever else is open on its connection, or was said there."""
@@ -111,34 +113,35 @@
         await place.settle()
         beside(client, state, place)
         await place.settle()
-        if how == "release":
-            if state in ("no set-up taken any more", "half a message"):
-                return
-            client.release(name)
-        else:
-            client.close(how)
+        go(client, how, name)
         await place.advance(3.2)
         assert len(place.sent(name)) == 1 and place.platform.of("given up", name)
         assert not place.relay.driver.plays and not place.platform.broken()
 
 
-@pytest.mark.parametrize("behind", ["", "set-up", "half"])
+@pytest.mark.parametrize("how, behind", [("close", ""), ("close", "set-up"), ("close", "half"),
+                                         ("release", ""), ("release", "half"), ("release", "16 kB")])
 @looped
-async def test_gone_before_its_set_up_is_read(tmp_path, behind):
+async def test_gone_before_its_set_up_is_read(tmp_path, how, behind):
     """Set-up and end lie in the socket together: the relay was busy, and begins nothing. Connections to nodes
-    are up and idle, so that nothing else would keep a set-up back.
+    are up and idle, so that nothing else would keep a set-up back. `behind`: what lies between the two.
     """
     async with town(tmp_path) as place:
         first, client = Client(place), Client(place)
         served = [first.ask() for _ in range(3)]
         await place.settle()
-        for _ in range(3):
-            client.ask()
-        if behind:
-            client.say(set_up("e" * 16)[:None if behind == "set-up" else 20])
-        client.close()
+        names, other = [client.ask() for _ in range(3)], set_up("e" * 16)
+        if how == "close":
+            client.say({"": b"", "set-up": other, "half": other[:20]}[behind])
+            client.close()
+        else:
+            if behind == "16 kB":
+                client.say(messages.message(messages.RELEASE, "e" * 16, cause=b"\x10" * 8100) * 2)
+            for name in names:
+                client.release(name)
+            client.say(other[:20] if behind == "half" else b"")
         await place.settle()
-        await place.until(lambda: len(place.relay.viewers.connections) == 1)
+        await place.until(lambda: len(place.relay.viewers.connections) == 1 + (how == "release"))
         assert sorted(s for _, s in place.sent()) == served and place.relay.driver.plays.keys() == set(served)
         first.close()
 
@@ -157,7 +160,53 @@
         assert not place.sent(name)
 
 
-@pytest.mark.parametrize("how", ["close", "half-close", "reset"])
+@pytest.mark.parametrize("how", ["close", "half-close", "reset", "release"])
+@looped
+async def test_gone_as_a_refusal_comes_from_the_node(tmp_path, how):
+    """Its end lies unread as the node's refusal is read: no further allocation begins, though the connections
+    to the other nodes are up.
+    """
+    async with town(tmp_path, does="silent") as place:
+        client, nodes_side = Client(place), place.relay.nodes
+        for node in nodes_side.nodes.values():
+            nodes_side.open(node)
+        await place.settle()
+        name = client.ask()
+        await place.settle()
+        go(client, how, name)
+        (first,) = (node for node, session in place.sent() if session == name)
+        (connection,) = (c for c in nodes_side.connections.values() if name in c.set_ups)
+        answer = place.platform.nodes[first].answer(453, name)
+        nodes_side.take(connection, rtsp.Reader().feed(answer)[0])
+        await place.settle()
+        assert place.sent(name) == [(first, name)] and not place.relay.driver.plays
+        assert place.relay.driver.counts["left"] == 1 and not place.relay.viewers.sessions
+
+
+@looped
+async def test_a_release_that_was_read_ahead_counts_though_its_connection_ends(tmp_path):
+    """It lies unread as a set-up of its connection is sent further, and then the connection is reset."""
+    async with town(tmp_path, does=["serve", "silent"]) as place:
+        client = Client(place)
+        stands = client.ask()
+        await place.settle()
+        name = client.ask()
+        await place.settle()
+        assert place.platform.standing().keys() == {stands}
+        (before, *_), (client_side,) = place.sent(name), place.relay.viewers.connections.values()
+        client.release(stands)
+        (set_up_out,) = [c for c in place.relay.nodes.connections.values() if name in c.set_ups]
+        answer = place.platform.nodes[before[0]].answer(453, name)
+        place.relay.nodes.take(set_up_out, rtsp.Reader().feed(answer)[0])
+        assert client_side.came and stands in place.relay.viewers.sessions
+        client_side.transport.end("reset")
+        await place.settle()
+        assert place.platform.of("cut", stands) and not place.platform.standing()
+        assert not place.relay.driver.plays and not place.platform.broken()
+        client.close()
+
+
+@pytest.mark.parametrize("how", ["close", "half-close", "reset", "release"])
 @looped
 async def test_gone_as_its_answer_comes_from_the_node(tmp_path, how):
     """Its end lies unread as the node's answer is: nobody would ever release what stands there."""
@@ -165,7 +214,7 @@
         client, node = Client(place), place.platform.nodes["n0"]
         name = client.ask(product="paid")
         await place.settle()
-        client.close(how)
+        go(client, how, name)
         (connection,) = place.relay.nodes.connections.values()
         node.standing[name] = node.came[name]
         node.say("answered", name, b"made")
@@ -534,6 +583,25 @@
         client.close()
 
 
+@pytest.mark.parametrize("moved", [False, True], ids=["at its address", "at another address"])
+@looped
+async def test_what_stood_at_a_process_that_has_started_anew_is_over(tmp_path, moved):
+    """The list tells of the start, and no release does: the process that would tell is gone."""
+    async with town(tmp_path, nodes=("n0",)) as place:
+        client = Client(place)
+        name = client.ask()
+        await place.settle()
+        await place.platform.add("n9")
+        change = {"up_since_ms": int(time.time() * 1000) + 1000}
+        if moved:
+            change["host_port"] = f"127.0.0.1:{place.platform.nodes['n9'].port}"
+        place.relay.channel.command({"nodes": {"members": [place.platform.member("n0") | change]}})
+        await place.settle()
+        assert [m.kind for m in client.answers(name)] == [ANSWER, RELEASE]
+        assert not place.relay.driver.plays and not place.relay.viewers.sessions
+        client.close()
+
+
 LATE = {"the same refusal again": 453, "an error again": 500, "an answer that crossed": 200}
 
 
--- a/tests/relay/town.py
+++ b/tests/relay/town.py
@@ -50,6 +50,7 @@
     def __init__(self, place):
         self.place, self.reader, self.heard = place, messages.Reader(), []
         self.sock = socket.create_connection(("127.0.0.1", place.port))
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # else a small piece waits for an ACK
 
     def ask(self, session="", product="cheap", patience="3000", **figures):
         session = session or self.place.platform.name()
