Running front: a crowd at the system's limit of descriptors, and one of half requests

Server.arrivals: what is closed to make room gives its descriptor back in the next turn (Connection.close), and 64 are accepted in one, so a crowd held up to 64 more than the limit says. At most 8 wait to be given back now, out of the reserve of 24. 2. A request half here was no room to be made: a crowd of half requests kept all others out until its time limit. Where nobody is idle, whoever has had half a request here longest makes room. Ruled out: the list's own connection and the nodes' (they have their part by bearable).

--- a/curlewhall/wire/server.py
+++ b/curlewhall/wire/server.py
@@ -13,6 +13,7 @@
 import struct
 from collections import deque
 from collections.abc import Callable
+from itertools import chain
 
 from .http import Limits, Message, MessageRefused, Requests, chunk, response_head
 from .timers import Timers
@@ -107,12 +108,17 @@
         self.rest()
 
     def rest(self) -> None:
-        """Put it last among those that may be closed to make room, or take it from them: where something is
-        owed on it, or half here.
+        """Put it last among those that may be closed to make room, or take it from them where something is
+        owed on it.
         """
-        self.server.idle.pop(self, None)
-        if not (self.closed or self.exchanges or self.half or self.first):
-            self.server.idle[self] = None
+        server, free = self.server, not (self.closed or self.exchanges or self.first)
+        server.idle.pop(self, None)
+        if free and self.half:
+            server.begun.setdefault(self)  # it keeps its place: a byte now and then makes nobody younger
+        else:
+            server.begun.pop(self, None)
+            if free:
+                server.idle[self] = None
 
     def unread(self) -> bool:
         """Whether the client has said something, or hung up, and it was not read yet."""
@@ -281,7 +287,8 @@
             if task is not None and task is not current:
                 task.cancel()
         # The tasks give the descriptor up in the next turn; closed under them, its number could be reused.
-        self.server.loop.call_soon(self.sock.close)
+        self.server.closing += 1
+        self.server.loop.call_soon(self.server.give_back, self.sock)
         for exchange in owed:
             if exchange.gone is not None:
                 exchange.gone()
@@ -295,6 +302,7 @@
 
 
 RESERVE = 24  # descriptors for the loop, the listeners, files and what is closing
+CLOSING = 8  # of it, at most: descriptors of connections that are closed, given back in the next turn
 VIEWERS = 0.6  # of the rest; the others are for nodes, the list service and peers
 
 
@@ -308,8 +316,8 @@
 
 
 class Server:
-    """Accepts until `stop`. Beyond the limit whoever has been idle longest makes room; where nobody is, who
-    comes is closed unanswered.
+    """Accepts until `stop`. Beyond the limit whoever has been idle longest makes room, then whoever has had a
+    request half here longest; where nobody is, who comes is closed unanswered.
 
     `heir(sock, data)`, once it is set, gets each connection with the first bytes of its next request; what
     was begun before is still answered here. `route(messages)` may name another server, in the same form, for
@@ -323,6 +331,8 @@
         self.loop, self.timers, self.sock, self.handler, self.limits = loop, timers, sock, handler, limits
         self.connections: set[Connection] = set()
         self.idle: dict[Connection, None] = {}  # those on which nothing is owed or half here, longest first
+        self.begun: dict[Connection, None] = {}  # those on which nothing is owed, and a request half here
+        self.closing = 0
         self.most = bearable(limits.connections)
         self.turned_away = self.slow = 0
         self.accepted: Callable[[Connection], bool] | None = None
@@ -344,9 +354,15 @@
             self.accepting = False
             self.loop.remove_reader(self.sock)
 
-    def arrivals(self) -> bool:
-        """Take some of those who wait; whether there may be more."""
+    def arrivals(self, last: bool = False) -> bool:
+        """Take some of those who wait; whether there may be more. `last`: those who are not taken now never
+        are.
+        """
         for _ in range(self.AT_ONCE):
+            # Danger: a crowd that takes each other's room within one turn would hold a descriptor each all
+            # the same, and there would be none for the list and the nodes.
+            if self.closing >= CLOSING and not last:
+                return True
             try:
                 sock, peer = self.sock.accept()
             except BlockingIOError:
@@ -368,12 +384,19 @@
         return True
 
     def make_room(self) -> bool:
-        """Close the connection that has been idle longest, but for those whose client has said something."""
-        found = next((line for line in self.idle if not line.unread()), None)
+        """Close the connection that has been idle longest, but for those whose client has said something.
+
+        Danger: a crowd that says the half of a request each would keep out all others.
+        """
+        found = next((line for line in chain(self.idle, self.begun) if not line.unread()), None)
         if found is not None:
             found.close()
         return found is not None
 
+    def give_back(self, sock: socket.socket) -> None:
+        self.closing -= 1
+        sock.close()
+
     def adopt(self, sock: socket.socket, peer, first: bytes = b"", routed: bool = False) -> None:
         """Serve a connection, of which `first` was read already; `routed`: whoever it would go to else."""
         line = Connection(self, sock, peer, first, routed)
@@ -411,7 +434,7 @@
     def stop_when_empty(self) -> None:
         """Accept all who wait, then no more."""
         rounds = 64 if self.sock.fileno() >= 0 else 0  # of 64: a queue is shorter, a flood has no end
-        while rounds and self.arrivals():
+        while rounds and self.arrivals(last=True):
             rounds -= 1
         self.stop()
 
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -74,6 +74,39 @@
         self.sock.close()
 
 
+class Crowd:
+    """Clients that connect, say little and stay; those that were closed come again at each `fill`."""
+
+    def __init__(self, where, says, count):
+        self.where, self.says, self.count, self.clients = where, says, count, []
+
+    async def fill(self):
+        """By sixteen a turn: the stand-ins in this loop go on answering, however busy the machine is."""
+        for client in [c for c in self.clients if self.ended(c)]:
+            client.close()
+            self.clients.remove(client)
+        while len(self.clients) < self.count:
+            client = socket.create_connection(self.where)
+            client.setblocking(False)
+            client.send(self.says)
+            self.clients.append(client)
+            if len(self.clients) % 16 == 0:
+                await asyncio.sleep(0)
+
+    @staticmethod
+    def ended(client):
+        try:
+            return not client.recv(65536)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
+    def close(self):
+        for client in self.clients:
+            client.close()
+
+
 @contextlib.asynccontextmanager
 async def raw_server(said, hold=False):
     """A server that reads something, says `said` and closes, or holds the connection."""
--- a/tests/relay/test_processes.py
+++ b/tests/relay/test_processes.py
@@ -5,11 +5,10 @@
 import os
 import resource
 import signal
-import socket
 import time
 
 import pytest
-from loopback import looped, poll
+from loopback import Crowd, looped, poll
 from relay.test_relay_process import ask, config, reach, run
 from relay.town import free_port, set_up
 
@@ -74,7 +73,7 @@
     """Far more connect than there are descriptors, and go on while the channel comes back: it is followed,
     nodes are reached, a viewer who plays keeps its connection, and new ones are served.
     """
-    platform, crowd, sockets = Platform(), [], 64
+    platform, sockets = Platform(), 64
     for name in ("n0", "n1"):
         await platform.add(name)
     known = {"cursor": 1, "cmds": [{"cursor": 1, "nodes": {
@@ -85,22 +84,12 @@
     process, port = await asyncio.to_thread(run, tmp_path, json.dumps(config(
         known=known, channel=f"127.0.0.1:{down}", limits={"sockets": sockets}, settings=settings)))
     resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (sockets, sockets))
-
-    def fill():
-        """Those that were closed come again."""
-        for client in [c for c in crowd if ended(c)]:
-            client.close()
-            crowd.remove(client)
-        while len(crowd) < 3 * sockets:
-            client = socket.create_connection(("127.0.0.1", port))
-            client.setblocking(False)
-            client.send(IDLE[says])
-            crowd.append(client)
+    crowd = Crowd(("127.0.0.1", port), IDLE[says], 3 * sockets)
 
     async def served(viewer):
         """Asks, the crowd coming again and again meanwhile."""
         name = viewer.ask()
-        fill()
+        await crowd.fill()
         assert (await viewer.hear(name)).kind == messages.ANSWER
         return name
 
@@ -117,7 +106,7 @@
         await platform.channel.start(down)  # discovery is back
         platform.channel.tell(2, [platform.member("n0", "draining")])
         while not platform.channel.calls:
-            fill()
+            await crowd.fill()
             await asyncio.sleep(0.01)
         for _ in range(3):
             await served(usual)
@@ -130,23 +119,13 @@
         node.end(playing, 16)
         assert (await usual.hear(playing, 2)).kind == messages.RELEASE  # and on its own connection
     finally:
-        for client in crowd:
-            client.close()
+        crowd.close()
         process.kill()
         _, err = process.communicate()
         platform.close()
     assert "Traceback" not in err
 
 
-def ended(client):
-    try:
-        return not client.recv(65536)
-    except BlockingIOError:
-        return False
-    except OSError:
-        return True
-
-
 @pytest.mark.days
 def test_nine_in_ten_of_thirty_that_start_at_once_are_ready_in_time(tmp_path):
     """Measured from the start of the process to its first passed test, as a client sees it."""
--- a/tests/wire/test_wire.py
+++ b/tests/wire/test_wire.py
@@ -328,3 +328,41 @@
     peers[0].sock.send(GET % 0)
     assert rig.server.make_room() and not rig.server.make_room()
     assert (await rig.asked.get()).request.target == "/0" and await peers[1].closed()
+
+
+@looped
+async def test_a_crowd_that_takes_each_others_room_holds_few_descriptors_more():
+    """All wait at the door in one turn; what is closed for them gives its descriptor back in the next."""
+    rig = Rig(connections=4)
+    rig.server.pause()
+    peers = [await Peer.open(rig.port) for _ in range(40)]
+    while rig.server.arrivals():
+        assert len(rig.server.connections) + rig.server.closing <= 4 + server.CLOSING
+        await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    assert len(rig.server.connections) == 4 and not rig.server.closing and not rig.server.turned_away
+    assert all([await peer.closed() for peer in peers[:36]])
+    for peer in peers:
+        peer.close()
+
+
+@looped
+async def test_a_crowd_of_half_requests_keeps_nobody_out():
+    rig = Rig(connections=4)
+    crowd = [await Peer.open(rig.port) for _ in range(4)]
+    for peer in crowd:
+        await peer.send((GET % 0)[:20])
+        while len(rig.server.begun) <= crowd.index(peer):
+            await asyncio.sleep(0)
+    await crowd[0].send((GET % 0)[20:25])  # no younger for it
+    first = next(iter(rig.server.begun))
+    while first.unread():
+        await asyncio.sleep(0)
+    later = await Peer.open(rig.port)
+    await later.send(GET % 1)
+    exchange = await rig.asked.get()
+    exchange.reply(200)
+    assert (await later.message()).status == 200 and first.closed and await crowd[0].closed()
+    assert len(rig.server.begun) == 3
+    for peer in crowd:
+        peer.close()
