A number that is no port reaches nobody: uvloop takes it modulo 65536

Seen: test_an_address_that_is_none_is_unreached_at_once[127.0.0.1-99999] said broken in place of unreached, once in some 60 plays of three test files beside others. Cause: uvloop's sock_connect takes port 99999 for 34463, an ephemeral port where another test's server listened; Pool.take handed the number on. A row of a list with such a port would have had a paid play failed by a stranger. Ruled out: the relay (its addresses are checked, and its sockets connect by themselves). The new test listens where the number would lead, and fails without the mend.

--- a/curlewhall/wire/client.py
+++ b/curlewhall/wire/client.py
@@ -178,6 +178,9 @@
             if now - since < self.idle_limit and not line.stale():
                 return line, ""
             line.sock.close()
+        if not 0 < self.port < 65536:
+            # Danger: uvloop connects to such a number modulo 65536, where a stranger may listen.
+            return None, "no port"
         family = socket.AF_INET6 if ":" in self.address else socket.AF_INET
         sock = socket.socket(family, socket.SOCK_STREAM)
         sock.setblocking(False)
--- a/tests/wire/test_wire.py
+++ b/tests/wire/test_wire.py
@@ -167,6 +167,15 @@
     assert reply.ending == "unreached"
 
 
+@pytest.mark.parametrize("turns", [-1, 1])
+@looped
+async def test_a_number_that_is_no_port_reaches_nobody(turns):
+    """Taken modulo 65536 it would be the port of somebody who listens."""
+    rig = Rig()
+    reply = await rig.pool(rig.port + turns * 65536).fetch(GET % 1, 5)
+    assert reply.ending == "unreached" and rig.asked.empty() and not rig.server.connections
+
+
 @looped
 async def test_late_withdrawn_and_never_sent():
     rig = Rig()
