--- a/curlewhall/policy.py
+++ b/curlewhall/policy.py
@@ -344,7 +344,8 @@
         # holders full, brings them all to one node. Counted by cell; a front sees few, so 10 s are looked at,
         # two plays added whose titles lie evenly over the cells, and one where more come than usual.
         cells, long, came = max(1, self.card["specifics.places"]), 10 * SECOND, self.takes.since(now - window)
-        if not node.broken and now - node.row.started >= warm:  # it is new to this front alone: evenly
+        started = node.row.started
+        if not node.broken and (not started or now - started >= warm):  # new to this front alone: evenly
             return 2 * came / self.own_part(now) / len(self.nodes)
         seen, here = (self.wants[cell].since(now - long) if cell in self.wants else 0
                       for cell in (None, node.row.place % cells))
