Tests: a port stays bound from when it is chosen, so that no other process gets it

Seen: a first play of test_idle_clients_fill_the_descriptors_while_discovery_is_down[nothing] declined, cause 42, 1000 ms away, once in some 100 plays of three files side by side. Ruled out: a stand-in kept busy for 0.3 to 0.9 s (passes), descriptors (13 of 64 at rest, 24 and 16 more at most), 360 plays of that file alone, ten at once (none fails). A relay that finds its port taken ends, and the test's client meets whoever has it: played with two relays on one port, the answer is this one to the byte, since a relay without nodes declines all. So the cause is most likely free_port, which gave the port up before the process took it; the collision itself was not caught.

--- a/tests/relay/town.py
+++ b/tests/relay/town.py
@@ -14,11 +14,18 @@
 from curlewhall.relay.serve import Relay
 from curlewhall.standins.platform import RST, Platform
 
+HELD = []  # for as long as these tests run
+
 
 def free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """A port that nobody else is given, in another process either: it stays bound here, and whoever is told
+    of it may listen there all the same (SO_REUSEADDR).
+    """
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind(("127.0.0.1", 0))
+    HELD.append(sock)
+    return sock.getsockname()[1]
 
 
 def settings(**changes):
