--- a/curlewhall/policy.py
+++ b/curlewhall/policy.py
@@ -118,8 +118,7 @@
         for row in rows:
             node = self.nodes.get(row.node)
             if node is None:
-                # Danger: an old list names nodes that have started since; all that a young front finds, and
-                # all that is new to it, is paced as if it had started just now.
+                # Danger: an old list hides starts since; all that is new to a front is paced as just started.
                 node = self.nodes[row.node] = Node(row)
                 node.cold_from, node.listed, changed = now, now, True
             elif row.started > node.row.started:
@@ -340,13 +339,11 @@
 
     def crowd(self, now, node, ply, warm, window):
         """How many plays of the whole fleet may come to a node in a window, two drawn of its holders."""
-        # Danger: one set-up from each of a hundred fronts is a hundred; a title that all ask for, its other
-        # holders full, brings them all to one node. Counted by cell; a front sees few, so 10 s are looked at,
-        # two plays added whose titles lie evenly over the cells, and one where more come than usual.
+        # Danger: a title that all ask for, its other holders full, brings a hundred fronts to one node.
+        # Counted by cell over 10 s, a front sees few; two plays that lie evenly added, one where more come.
         cells, long, came = max(1, self.card["specifics.places"]), 10 * SECOND, self.takes.since(now - window)
-        started = node.row.started
-        if not node.broken and (not started or now - started >= warm):  # new to this front alone: evenly
-            return 2 * came / self.own_part(now) / len(self.nodes)
+        if not node.broken and (not node.row.started or now - node.row.started >= warm):
+            return 2 * came / self.own_part(now) / len(self.nodes)  # new to this front alone: evenly
         seen, here = (self.wants[cell].since(now - long) if cell in self.wants else 0
                       for cell in (None, node.row.place % cells))
         usual, part = seen * window / long, (here + 2 * len(ply.cells) / cells) / (seen + 2)
