--- a/tests/front/test_front_process.py
+++ b/tests/front/test_front_process.py
@@ -36,12 +36,12 @@
     file.write_text(settings(place.plan, 0))
     front = place.plan["fronts"][0]
     where = front["address"], front["port"]
+    crowd, loop = Crowd(where, IDLE[says], 3 * DESCRIPTORS), asyncio.get_running_loop()
+    timers, drained = Timers(loop), next(iter(fleet.nodes))
     with open(log, "wb") as out:
         process = subprocess.Popen(
             [sys.executable, "-m", "curlewhall", "serve", str(file)], stdout=out, stderr=out,
             preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (DESCRIPTORS, DESCRIPTORS)))
-    crowd, loop = Crowd(where, IDLE[says], 3 * DESCRIPTORS), asyncio.get_running_loop()
-    timers, drained = Timers(loop), next(iter(fleet.nodes))
 
     async def served(count):
         """Viewers come and ask, after the crowd each; the nodes that their plays went to."""
