Relay: it leaves though nobody reads what it says

Seen: nine relays whose tests had died stayed for over a minute after SIGTERM. Relay.stop says 'leaving' before it sets its timers; with a standard error whose reader has gone, print raises BrokenPipeError, and the leaving was never begun; a second SIGTERM finds it begun. Ruled out: held-back signals (SigBlk 0, SIGTERM caught). Lines at fault: Log.say, print without a guard. Mended there, since every line may be the one. The new test fails without it (20 s).

--- a/curlewhall/relay/absent.py
+++ b/curlewhall/relay/absent.py
@@ -1,5 +1,6 @@
 """What this door does without: the mover's place is empty, and log lines for each message are not written."""
 
+import contextlib
 import sys
 import time
 import traceback
@@ -56,7 +57,9 @@
     def say(self, text: str, **facts) -> None:
         """What happens once or twice in a process's life."""
         more = " ".join(f"{name}={value}" for name, value in facts.items())
-        print(f"{text} {more}".rstrip(), file=self.out, flush=True)
+        # Danger: whoever read these lines has gone. An error here would end what is told of, the leaving too.
+        with contextlib.suppress(OSError):
+            print(f"{text} {more}".rstrip(), file=self.out, flush=True)
 
     def exception(self, text: str, **facts) -> None:
         self.warning(text, **facts, fault=" | ".join(traceback.format_exc().strip().splitlines()[-6:]))
--- a/tests/relay/test_processes.py
+++ b/tests/relay/test_processes.py
@@ -64,6 +64,19 @@
     assert process.returncode == 0 and err.count("leaving") == 1 and err.count("left asked") == 1
 
 
+def test_it_leaves_though_nobody_reads_what_it_says(tmp_path):
+    """Whoever started it has died, and its standard error is a pipe without a reader."""
+    process, port = run(tmp_path, json.dumps(config()))
+    try:
+        assert ask(port, TEST).fields[messages.CAUSE] == b"\1"
+        process.stderr.close()
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(20) >= 0  # by its own way, not by a signal
+    finally:
+        process.kill()
+        process.wait()
+
+
 IDLE = {"nothing": b"", "one test": TEST, "half a message": set_up("e" * 16)[:30]}
 
 
