Last read: one peek at a socket for client and server, one slow reader of the tests

Line.stale and Connection.unread were the same lines; both call transport.pending now. Two tests drained a slow reader in the same loop, with the same check.

--- a/curlewhall/wire/client.py
+++ b/curlewhall/wire/client.py
@@ -20,6 +20,7 @@
 
 from .http import Limits, Message, MessageRefused, Responses
 from .timers import Timers
+from .transport import pending
 
 READ = 16384  # segments come in pieces of some kilobytes
 SPARE = 8  # idle connections kept for an address; more are closed as they come back
@@ -44,13 +45,7 @@
 
     def stale(self) -> bool:
         """Whether the other side has closed, or has said something that nobody asked for."""
-        try:
-            self.sock.recv(1, socket.MSG_PEEK)
-        except (BlockingIOError, InterruptedError):
-            return False
-        except OSError:
-            pass
-        return True
+        return pending(self.sock)
 
 
 class Ask:
--- a/curlewhall/wire/server.py
+++ b/curlewhall/wire/server.py
@@ -17,7 +17,7 @@
 
 from .http import Limits, Message, MessageRefused, Requests, chunk, response_head
 from .timers import Timers
-from .transport import ended_by_peer
+from .transport import ended_by_peer, pending
 
 LOOK = 0.05  # seconds between two looks at a client that is not read from: gone, it is forgotten within 0.1 s
 READ = 2048  # bytes of a connection's own buffer: a viewer's request takes a few hundred
@@ -122,13 +122,7 @@
 
     def unread(self) -> bool:
         """Whether the client has said something, or hung up, and it was not read yet."""
-        try:
-            self.sock.recv(1, socket.MSG_PEEK)
-        except (BlockingIOError, InterruptedError):
-            return False
-        except OSError:
-            pass
-        return True
+        return pending(self.sock)
 
     def watch(self, span: float, why: str) -> None:
         if self.limit is not None:
--- a/curlewhall/wire/transport.py
+++ b/curlewhall/wire/transport.py
@@ -16,6 +16,17 @@
 QUEUED = 1 << 16  # bytes that wait for a slow reader; four messages of the longest kind, then it ends
 
 
+def pending(sock: socket.socket) -> bool:
+    """Whether a read would not wait: the other side has said something, or has ended."""
+    try:
+        sock.recv(1, socket.MSG_PEEK)
+    except (BlockingIOError, InterruptedError):
+        return False
+    except OSError:
+        pass
+    return True
+
+
 def ended_by_peer(sock: socket.socket) -> bool:
     """Whether the other side has closed, half-closed or reset, asked of the kernel now.
 
--- a/tests/relay/test_crossings.py
+++ b/tests/relay/test_crossings.py
@@ -241,6 +241,16 @@
 
 # ---- a connection that is to be closed, and bytes on it that nobody has read
 
+async def heard_all(place, client, sent):
+    """A slow reader gets all that was written to it."""
+    for _ in range(1000):
+        client.closed()
+        await place.settle()
+        if len(client.heard) == sent:
+            break
+    assert len(client.heard) == sent
+
+
 def idle(place):
     place.relay.viewers.look()
 
@@ -295,12 +305,7 @@
         connection.transport.moved = clock.now
         closer(place)
         await place.settle()
-        for _ in range(1000):
-            client.closed()
-            await place.settle()
-            if len(client.heard) == sent:
-                break
-        assert len(client.heard) == sent
+        await heard_all(place, client, sent)
         client.close()
 
 
@@ -358,12 +363,7 @@
             client.say(test * 500)
             sent += 500
             assert not place.relay.viewers.close_clear(connection)  # it reads, answers, and keeps it
-        for _ in range(1000):
-            client.closed()
-            await place.settle()
-            if len(client.heard) == sent:
-                break
-        assert len(client.heard) == sent
+        await heard_all(place, client, sent)
         client.close()
 
 
