--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -225,11 +225,13 @@
     record = Record(pathlib.Path(folder))
 
     async def run() -> int:
-        rig = Rig(record)
+        rig, task = Rig(record), asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):  # whoever ends the script early leaves no front behind
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
             async with asyncio.timeout(limit_s):
                 return HELD if await case(rig, record) else BROKEN
-        except Exception as err:
+        except (Exception, asyncio.CancelledError) as err:
             record.write(f"the case could not run: {type(err).__name__}: {err}")
             return NOT_RUN
         finally:
