--- a/review/3/case.py
+++ b/review/3/case.py
@@ -13,7 +13,7 @@
 
 from curlewhall.codecs import messages  # noqa: E402
 
-ASKS = 130
+ASKS = 150
 SPOILT_ONE_IN = 10  # of the nodes' answers to proofs
 PAUSE_S = 0.45  # between two viewers: about two plays a second
 LIMIT_S = 8.0 + 0.05  # by the page, with its 50 ms
@@ -42,6 +42,7 @@
     for i in range(3):
         rig.nodes[f"b{i}"] = TimedNode(rig, f"b{i}", life_s, spoil)
         await rig.nodes[f"b{i}"].start()
+    rig.zones["b1"] = "maja-b"  # the others are in the front's own building
     await rig.channel.start()
     rig.tasks.append(asyncio.create_task(keep_commenting(rig.channel)))
     viewer = await rig.viewer(await rig.start_front())
