--- a/review/1/case.py
+++ b/review/1/case.py
@@ -15,7 +15,7 @@
 
 RUN_S = 75.0
 PAUSE_S = 0.45  # between two usual viewers: about two plays a second
-BAD_CLIENTS = 12  # at a time
+BAD_CLIENTS = 20  # at a time
 REQUESTS_AT_ONCE = 300  # "hundreds"
 STAY_S = 1.0  # then the client closes, and another comes
 LIMIT_MB = 192  # "at most", and what the configuration says here
