Relay: set-up, connection and node state in a module of their own

The classes SetUp, Connection and Node, with the constants that only they read, are in node_state.py now; no line of them changed. Tests name node_state.MAX_FAILED_SETUPS where they named nodes.MAX_FAILED_SETUPS.

--- /dev/null
+++ b/curlewhall/relay/node_state.py
@@ -0,0 +1,174 @@
+"""A node as a relay keeps it: its connections, the set-ups on their way to it, and the sessions there."""
+
+import time
+from typing import TYPE_CHECKING
+
+from curlewhall.codecs import rtsp
+from curlewhall.front.driver import ActivePlay
+from curlewhall.interface import NodeRow
+
+if TYPE_CHECKING:
+    from .nodes import Nodes
+
+PARTIAL_ANSWER_S = 0.05  # in which the rest of an answer comes, once it has begun
+MAX_FAILED_SETUPS = 256  # on a connection until it gets no more: far more than fail in its usual life
+# states of a `SetUp`
+WAITING = "waiting"
+SENT = "sent"
+SETTLED = "settled"
+
+
+class SetUp:
+    """A set-up on its way to a node. Its states: `WAITING` for a connection, or for the end of an earlier one
+    of the same play there; `SENT`; `SETTLED`, once, with one of the endings of `curlewhall.interface`.
+    """
+
+    __slots__ = (
+        "nodes",
+        "node",
+        "active_play",
+        "number",
+        "connection",
+        "state",
+        "started_at",
+        "time_limit_s",
+        "timer",
+        "node_identity",
+        "retries",
+        "waited",
+    )
+
+    def __init__(
+        self, nodes: "Nodes", node: "Node", active_play: ActivePlay, number: int, time_limit_s: float
+    ) -> None:
+        self.nodes = nodes
+        self.node = node
+        self.active_play = active_play
+        self.number = number
+        self.time_limit_s = time_limit_s
+        self.started_at = time.monotonic()
+        self.connection: Connection | None = None
+        self.state = WAITING
+        self.retries = 0
+        self.node_identity = node.identity
+        self.waited = False  # it could not be sent at once
+        self.timer = nodes.timers.after(time_limit_s, self.stop, "late")
+
+    @property
+    def play(self) -> str:
+        """The play's id, which is also the session's."""
+        return self.active_play.info.play
+
+    def withdraw(self) -> None:
+        """End it now; the node is told, and the driver, before this returns."""
+        self.stop("withdrawn")
+
+    def stop(self, how: str) -> None:
+        """End it: as `how` if it was sent, else as "not_sent"."""
+        if self.state == SETTLED:
+            return
+        connection, sent = self.connection, self.state == SENT
+        if sent:
+            self.nodes.abandon_set_up(self)
+        self.settle(how if sent else "not_sent", {})
+        if (
+            sent
+            and connection.reader.buffer
+            and time.monotonic() - connection.last_received > PARTIAL_ANSWER_S
+        ):
+            # The answer broke off in the middle: the next message would be read as the rest of it.
+            connection.transport.end("spoilt")
+
+    def settle(self, how: str, report: dict) -> None:
+        """Tell the driver how it ended. Further calls do nothing."""
+        if self.state == SETTLED:
+            return
+        sent, self.state = self.state == SENT, SETTLED
+        self.timer.cancel()
+        if how == "late":
+            self.nodes.silence_timeouts.suspect_zone(self.node.row.zone, time.monotonic())
+        if self.connection is not None:
+            self.connection.set_up_ended(self.play, sent and how != "ok")
+        self.nodes.driver.allocation_ended(
+            self.active_play, self.number, self.node.id, how, time.monotonic() - self.started_at, report
+        )
+
+
+class Connection:
+    """One connection to a node."""
+
+    __slots__ = (
+        "transport",
+        "node",
+        "reader",
+        "set_ups",
+        "failed_plays",
+        "probes",
+        "last_received",
+        "last_used",
+        "retiring",
+        "connect_timer",
+    )
+
+    def __init__(self, node: "Node") -> None:
+        self.node = node
+        self.reader = rtsp.Reader()
+        self.set_ups: dict[str, SetUp] = {}  # open on it, or waiting for it to come up
+        # plays whose set-ups failed here -> whether it was abandoned, so that an answer may still come
+        self.failed_plays: dict[str, bool] = {}
+        self.probes: dict[str, float] = {}  # session of the probe -> when it was asked for
+        self.last_received = self.last_used = time.monotonic()
+        self.retiring = False  # it gets no more set-ups, and is closed once it is idle
+        self.connect_timer = None
+        self.transport = None
+
+    @property
+    def idle(self) -> bool:
+        """Whether no answer is waited for on it."""
+        return not self.set_ups and not self.probes
+
+    def accepts(self, play: str) -> bool:
+        """Whether a set-up of this play may be sent on it.
+
+        An answer names session and `CSeq` alone. On a connection with a failed set-up of the same play, a
+        late copy of its answer would be taken for that of the new one; after a partial message, the new
+        answer would be read as the rest of it.
+        """
+        return not self.retiring and play not in self.failed_plays and not self.reader.buffer
+
+    def set_up_ended(self, play: str, failed: bool) -> None:
+        """Remove a set-up; after one that failed here, `accepts` refuses its play."""
+        self.set_ups.pop(play, None)
+        self.last_used = time.monotonic()
+        if failed:
+            self.failed_plays.setdefault(play, False)
+            self.retiring = self.retiring or len(self.failed_plays) > MAX_FAILED_SETUPS
+
+
+class Node:
+    """One listed node."""
+
+    def __init__(self, row: NodeRow, address: tuple[str, int]) -> None:
+        self.id = row.node
+        self.row = row
+        self.address = address
+        self.connections: list[Connection] = []
+        self.sessions: dict[str, int] = {}  # session -> when it began, on the module's clock
+        self.moved_sessions: dict[str, object] = {}  # session -> the timer that ends it, see `move_timed_out`
+        self.queued_messages: list[bytes] = []  # for the next connection
+        # session -> how many TEARDOWNs are not acknowledged, and when the last was sent
+        self.pending_teardowns: dict[str, tuple[int, float]] = {}
+        self.waiting_set_ups: dict[str, SetUp] = {}  # session -> a set-up that waits for these TEARDOWNs
+        self.failed_connects = 0  # in a row
+        self.reconnect_timer = None
+        self.last_received = time.monotonic()
+
+    @property
+    def identity(self) -> tuple:
+        """What must not change while a set-up waits: the list may tell of a drain or a new start."""
+        return self.row.state, self.row.started, self.address
+
+    def open_connections(self) -> list[Connection]:
+        """Those that are up and not retiring, the one that received last first."""
+        sound = (c for c in self.connections if c.transport.open and not c.retiring)
+        return sorted(sound, key=lambda c: -c.last_received)
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -10,7 +10,7 @@
 
 from curlewhall.codecs import messages
 from curlewhall.codecs.messages import ANSWER, CAUSE, DESCRIPTION, RELEASE
-from curlewhall.relay import decide, nodes, viewers
+from curlewhall.relay import decide, node_state, nodes, viewers
 from curlewhall.standins.platform import INVALID_ANSWERS, release
 
 
@@ -625,7 +625,7 @@
         assert {name: len(table) for name, table in left.items()} == dict.fromkeys(left, 0)
         assert len(relay.nodes.connections) <= 4 * nodes.MAX_CONNECTIONS_PER_NODE and len(relay.timers) < 60
         connections = relay.nodes.connections.values()
-        assert all(c.idle and len(c.failed_plays) <= nodes.MAX_FAILED_SETUPS for c in connections)
+        assert all(c.idle and len(c.failed_plays) <= node_state.MAX_FAILED_SETUPS for c in connections)
 
 
 @looped
