Relay: sessions named with `at` are plays once their node has reported them

The front went from 15 MB to its 192 MB in 22 s and would have been killed; long before, no usual viewer was served any more.

Cause: Viewers.resume, Nodes.adopt, Driver.resume_play and Front.resumed believed every set-up with `at`. Only the node could end such a session, and it did not know it.

Change: relay/nodes.py (adopt, confirm, drop_unreported), viewers.py (resume, unreported), node_state.py, decide.py (AdoptionLimits). A session is unconfirmed until its node has sent a message about it, and no play until then. A node holds as many as it has streams; more are refused.

--- a/curlewhall/relay/decide.py
+++ b/curlewhall/relay/decide.py
@@ -6,6 +6,9 @@
 are seconds. No I/O; no clock is read.
 """
 
+from collections.abc import Mapping
+from typing import Any
+
 from curlewhall.start.decide import Backoff, SeededRandom, fleet_span
 
 MAX_CHANNEL_DELAY_S = 0.4  # changes count as known to a front 2 s after a break: time for five attempts
@@ -99,6 +102,28 @@
         )
 
 
+class AdoptionLimits:
+    """How many sessions of before this process a node may hold, and how long one may go unconfirmed.
+
+    Viewers name the sessions that ran before this process, and any client can name one that doesn't exist.
+    Nodes report each session that runs, once they have a connection. Until then a session is unconfirmed: it
+    counts as no play at its node, and its viewer is told if its node is lost. A node holds at most as many as
+    it has streams. One that a connected node doesn't report is taken for ended, while there is time to tell
+    its viewer so.
+    """
+
+    def __init__(self, start_settings: Mapping[str, Any], silence_timeouts: SilenceTimeouts) -> None:
+        self.streams_by_kind = dict(
+            zip(start_settings["kinds"], start_settings["specifics.kind_streams"], strict=False)
+        )
+        self.fewest_streams = min(self.streams_by_kind.values(), default=1)
+        self.confirmation_timeout_s = silence_timeouts.usual
+
+    def accepts(self, kind: str, held: int) -> bool:
+        """Whether a node of this kind that holds so many sessions may hold one more."""
+        return held < self.streams_by_kind.get(kind, self.fewest_streams)
+
+
 class NodeConnectDelays:
     """Delays of a front that has just started before it connects to each node with sessions of before."""
 
--- a/curlewhall/relay/node_state.py
+++ b/curlewhall/relay/node_state.py
@@ -9,6 +9,7 @@
 
 if TYPE_CHECKING:
     from .nodes import Nodes
+    from .viewers import PlayInfo
 
 PARTIAL_ANSWER_S = 0.05  # in which the rest of an answer comes, once it has begun
 MAX_FAILED_SETUPS = 256  # on a connection until it gets no more: far more than fail in its usual life
@@ -145,6 +146,17 @@
             self.retiring = self.retiring or len(self.failed_plays) > MAX_FAILED_SETUPS
 
 
+class UnconfirmedSession:
+    """A session of before this process that a viewer has named and its node has not reported yet."""
+
+    __slots__ = ("info", "named_at", "awaited_since")
+
+    def __init__(self, info: "PlayInfo", named_at: int, awaited_since: float | None) -> None:
+        self.info = info
+        self.named_at = named_at  # on the module's clock
+        self.awaited_since = awaited_since  # since when its node could report it; None: not connected yet
+
+
 class Node:
     """One listed node."""
 
@@ -154,6 +166,7 @@
         self.address = address
         self.connections: list[Connection] = []
         self.sessions: dict[str, int] = {}  # session -> when it began, on the module's clock
+        self.unconfirmed: dict[str, UnconfirmedSession] = {}  # by session
         self.moved_sessions: dict[str, object] = {}  # session -> the timer that ends it, see `move_timed_out`
         self.queued_messages: list[bytes] = []  # for the next connection
         # session -> how many TEARDOWNs are not acknowledged, and when the last was sent
@@ -163,6 +176,11 @@
         self.reconnect_timer = None
         self.last_received = time.monotonic()
 
+    @property
+    def holds_sessions(self) -> bool:
+        """Whether sessions run there, as far as is known."""
+        return bool(self.sessions or self.unconfirmed)
+
     @property
     def identity(self) -> tuple:
         """What must not change while a set-up waits: the list may tell of a drain or a new start."""
--- a/curlewhall/relay/nodes.py
+++ b/curlewhall/relay/nodes.py
@@ -9,6 +9,7 @@
 
 import time
 from asyncio import AbstractEventLoop
+from typing import TYPE_CHECKING
 
 from curlewhall.codecs import rtsp
 from curlewhall.front.driver import TICKS_PER_SECOND, ActivePlay, Driver
@@ -17,10 +18,13 @@
 from curlewhall.wire.timers import Timers
 from curlewhall.wire.transport import Transport, connect
 
-from .decide import NodeConnectDelays, SilenceTimeouts
-from .node_state import SENT, WAITING, Connection, Node, SetUp
+from .decide import AdoptionLimits, NodeConnectDelays, SilenceTimeouts
+from .node_state import SENT, WAITING, Connection, Node, SetUp, UnconfirmedSession
 from .null_objects import Log
 
+if TYPE_CHECKING:
+    from .viewers import PlayInfo
+
 PROBE_TIMEOUT_S = 0.25  # several times what a sound node takes
 NODE_SILENCE_S = 3.0  # a connection silent for so long may be dead, though it is open
 FAILED_CONNECTS_UNTIL_LOST = 2  # in a row, until a node's sessions are taken for ended
@@ -68,6 +72,7 @@
         self.silence_timeouts = SilenceTimeouts(
             CHECK_INTERVAL_S, FAILED_CONNECTS_UNTIL_LOST, self.connect_timeout_s
         )
+        self.adoption_limits = AdoptionLimits(driver.start_settings, self.silence_timeouts)
         self.connect_delays = NodeConnectDelays(seed, driver.start_settings.get("fronts", 1))
         timers.after(CHECK_INTERVAL_S, self.check_connections)
 
@@ -90,6 +95,8 @@
                 # Sessions of the process before are over, and no release comes for them.
                 for play in [p for p, began in node.sessions.items() if began < row.started]:
                     self.session_ended(node, play, "broken", TEMPORARY_FAILURE)
+                for play in [p for p, s in node.unconfirmed.items() if s.named_at < row.started]:
+                    self.lose_unconfirmed(node, play)
             if address != node.address:
                 node.address = address
                 self.reset_connections(node)
@@ -116,6 +123,13 @@
         """Take all sessions of a node for ended."""
         for play in list(node.sessions):
             self.session_ended(node, play, "broken", TEMPORARY_FAILURE)
+        for play in list(node.unconfirmed):
+            self.lose_unconfirmed(node, play)
+
+    def lose_unconfirmed(self, node: Node, play: str) -> None:
+        """Take an unconfirmed session for ended."""
+        del node.unconfirmed[play]
+        self.driver.viewers.session_ended(play, TEMPORARY_FAILURE)
 
     def reset_connections(self, node: Node) -> None:
         """End all connections to a node as if the node had reset them."""
@@ -150,7 +164,7 @@
         connection is spared while sessions are there and another can be closed.
         """
         free = [c for c in self.connections.values() if c.idle]
-        spare = [c for c in free if len(c.node.connections) > 1 or not c.node.sessions] or free
+        spare = [c for c in free if len(c.node.connections) > 1 or not c.node.holds_sessions] or free
         return any(self.close_if_idle(c) for c in sorted(spare, key=lambda c: c.last_used))
 
     def choose_connection(self, node: Node, play: str) -> Connection | None:
@@ -179,6 +193,8 @@
         node, now = connection.node, time.monotonic()
         connection.last_received = node.last_received = now
         node.failed_connects = 0
+        for session in node.unconfirmed.values():
+            session.awaited_since = session.awaited_since or now
         while node.queued_messages and transport.send(node.queued_messages[0]):
             node.queued_messages.pop(0)
         for session in connection.probes:
@@ -249,7 +265,7 @@
         """Keep a connection to a node with sessions, on which it can report their ends; take the sessions for
         ended if it can't be reached.
         """
-        if self.closed or not node.sessions or not self.is_listed(node):
+        if self.closed or not node.holds_sessions or not self.is_listed(node):
             return
         # A machine that vanished leaves a connection that stays open and is silent.
         silent = time.monotonic() - node.last_received > NODE_SILENCE_S
@@ -257,7 +273,7 @@
             self.log.warning(
                 "node can't be reached; its sessions are taken for ended",
                 node=node.id,
-                sessions=len(node.sessions),
+                sessions=len(node.sessions) + len(node.unconfirmed),
             )
             self.lose_sessions(node)
         elif not node.connections and node.reconnect_timer is None:
@@ -275,7 +291,7 @@
             not self.closed
             and self.is_listed(node)
             and not node.connections
-            and node.sessions
+            and node.holds_sessions
             and self.open(node) is None
         ):
             node.reconnect_timer = self.timers.after(RECONNECT_DELAYS_S[-1], self.reconnect, node)
@@ -294,14 +310,15 @@
             for connection in [c for c in node.connections if c.transport.open]:
                 if connection.retiring or (
                     now - max(connection.last_used, connection.last_received) > idle_timeout_s
-                    and (len(node.connections) > 1 or not node.sessions)
+                    and (len(node.connections) > 1 or not node.holds_sessions)
                 ):
                     self.close_if_idle(connection)
             for play in [
                 p for p, (_, at) in node.pending_teardowns.items() if now - at > self.connect_timeout_s
             ]:
                 del node.pending_teardowns[play]  # nodes need not acknowledge a TEARDOWN
-            if node.sessions and node.row.state != "gone":
+            self.drop_unreported(node, now)
+            if node.holds_sessions and node.row.state != "gone":
                 if not node.connections:
                     self.ensure_connection(node)
                 elif now - node.last_received > self.silence_timeouts.allowed(node.row.zone, now) and all(
@@ -411,7 +428,10 @@
     def release(self, name: str, play: str, cause: int) -> None:
         """End a session that runs at a node."""
         node = self.nodes.get(name)
-        if node is not None and node.sessions.pop(play, None) is not None:
+        if node is None:
+            return
+        known = node.sessions.pop(play, None) is not None or node.unconfirmed.pop(play, None) is not None
+        if known:
             self.tear_down(node, play, cause)
 
     def tear_down(self, node: Node, play: str, cause: int = ENDED_BY_FRONT) -> None:
@@ -514,6 +534,8 @@
     def handle_message(self, connection: Connection, message: rtsp.Message) -> None:
         """Handle a request or a response of a node."""
         node, play = connection.node, message.session
+        if message.method and play in node.unconfirmed:
+            self.confirm(node, play)
         if message.method == "TEARDOWN":
             connection.transport.send(rtsp.response(200, "OK", message))
             set_up, cause = connection.set_ups.get(play), message.cause()
@@ -597,16 +619,39 @@
         self.driver.viewers.session_ended(play, cause, release_owed)
         self.driver.play_ended(play, how)
 
-    def adopt(self, play: str, name: str) -> bool:
-        """Take over a session that was set up before this process began; False if its node is not listed."""
+    def adopt(self, info: "PlayInfo", name: str) -> bool:
+        """Take over a session that a viewer says was set up before this process began; False if its node is
+        not listed, or has not so many streams.
+        """
         node = self.nodes.get(name)
         if node is None:
             return False
-        node.sessions[play] = self.driver.clock.now()
+        held = len(node.sessions) + len(node.unconfirmed)
+        if not self.adoption_limits.accepts(node.row.kind, held):
+            return False
+        connected = any(c.transport.open for c in node.connections)
+        node.unconfirmed[info.play] = UnconfirmedSession(
+            info, self.driver.clock.now(), time.monotonic() if connected else None
+        )
         if not node.connections and node.reconnect_timer is None:
             node.reconnect_timer = self.timers.after(self.connect_delays.next(), self.reconnect, node)
         return True
 
+    def confirm(self, node: Node, play: str) -> None:
+        """Its node has reported a session of before this process: from here on it counts as a play."""
+        session = node.unconfirmed.pop(play)
+        node.sessions[play] = session.named_at
+        self.driver.resume_play(session.info, session.info, node.id)
+
+    def drop_unreported(self, node: Node, now: float) -> None:
+        """End the sessions that a node could have reported for long, and has not."""
+        longest_s = self.adoption_limits.confirmation_timeout_s
+        for play, session in list(node.unconfirmed.items()):
+            if session.awaited_since is not None and now - session.awaited_since > longest_s:
+                del node.unconfirmed[play]
+                self.tear_down(node, play)
+                self.driver.viewers.unreported(play, TEMPORARY_FAILURE)
+
     def event(self, node: str, event) -> None:
         """Does nothing: a node reports on a session on its own connection in order, so no event is early."""
 
--- a/curlewhall/relay/viewers.py
+++ b/curlewhall/relay/viewers.py
@@ -68,7 +68,16 @@
 class Session:
     """A play on the viewers' side, from its set-up until it is over: `ActivePlay.exchange` of the driver."""
 
-    __slots__ = ("id", "viewers", "connection", "description", "answer", "active_play", "established")
+    __slots__ = (
+        "id",
+        "viewers",
+        "connection",
+        "description",
+        "answer",
+        "active_play",
+        "established",
+        "unconfirmed_at",
+    )
 
     def __init__(
         self, name: str, viewers: "Viewers", connection: "Connection", description: bytes = b""
@@ -80,6 +89,7 @@
         self.answer = b""  # the node's description, for the viewer
         self.active_play: ActivePlay | None = None
         self.established = False  # it was answered with success, and is not over
+        self.unconfirmed_at = ""  # the node that it names and that has not reported it; "" for any other
 
     def client_disconnected(self) -> bool:
         """Whether its viewer has ended the connection or given up, even if that was not handled yet."""
@@ -488,20 +498,32 @@
         return int(text)
 
     def resume(self, connection: Connection, info: PlayInfo, node: str) -> None:
-        """Adopt a session that runs at its node already; it gets no answer."""
-        session = Session(info.play, self, connection)
-        if not self.driver.nodes.adopt(info.play, node):
-            self.log.warning("existing session names a node that is not listed", node=node)
+        """Adopt a session that, by its set-up, runs at a node already. It gets no answer, but a release if it
+        can't run there. The driver makes it a play once its node has reported it.
+        """
+        if not self.driver.nodes.adopt(info, node):
+            self.log.warning("existing session can't run at the node that it names", node=node[:40])
+            connection.transport.send(
+                messages.encode(messages.RELEASE, info.play, cause=bytes((TEMPORARY_FAILURE,)))
+            )
             return
-        session.established = True
+        session = Session(info.play, self, connection)
+        session.established, session.unconfirmed_at = True, node
         self.sessions[info.play] = connection.sessions[info.play] = session
-        self.driver.resume_play(info, info, node)
 
     def resumed(self, active_play: ActivePlay) -> None:
         """The driver has made the play of an adopted session."""
         session = self.sessions.get(active_play.info.play)
         if session is not None:
-            session.active_play = active_play
+            session.active_play, session.unconfirmed_at = active_play, ""
+
+    def unreported(self, play: str, cause: int) -> None:
+        """Release an adopted session that its node doesn't know. It is hardly a viewer's, so without its own
+        connection nobody is told.
+        """
+        session = self.sessions.get(play)
+        if session is not None:
+            self.session_ended(play, cause, release_owed=session.connection is not None)
 
     def cancel_set_up(self, session: Session) -> None:
         """The viewer has given up its set-up: it is owed no answer."""
@@ -511,8 +533,8 @@
     def release_session(self, session: Session, cause: int) -> None:
         """The viewer ends an established session; it is owed no release."""
         self.forget(session)
-        active_play = session.active_play
-        self.driver.nodes.release(active_play.node, session.id, cause)
+        node = session.unconfirmed_at or session.active_play.node
+        self.driver.nodes.release(node, session.id, cause)
         self.driver.play_ended(session.id, "withdrawn")
 
     def forget(self, session: Session) -> None:
--- a/curlewhall/standins/platform.py
+++ b/curlewhall/standins/platform.py
@@ -71,6 +71,7 @@
         self.unacknowledged_ends: dict[str, int] = {}  # session -> cause; repeated on the next connection
         self.pending: dict[str, object] = {}  # session whose set-up has no answer -> its connection
         self.setup_connections: dict[str, object] = {}  # session -> the connection of its latest set-up
+        self.unreported: dict[str, int] = {}  # session of before the front's start -> its rung
         self.report = "cpu:0.25;x1:0.5"
         self.acknowledges = True  # whether it answers a TEARDOWN
 
@@ -96,6 +97,10 @@
         self.record("connected", "")
         for session, cause in self.unacknowledged_ends.items():
             writer.write(release(session, cause))
+        for session, rung in self.unreported.items():
+            self.sessions[session] = writer
+            self.send_note(session, "level", rung)
+        self.unreported.clear()
         try:
             while data := await reader.read(READ_BYTES):
                 for message in codec.feed(data):
@@ -169,6 +174,17 @@
             self.record("given up", session)
             abort(writer)
 
+    def hold(self, session: str, rung: int = 0) -> None:
+        """Run a session that was set up before the front's start: its rung is reported on a connection of the
+        front, now or once there is one.
+        """
+        writer = next(iter(self.writable_connections()), None)
+        self.sessions[session] = writer
+        if writer is None:
+            self.unreported[session] = rung
+        else:
+            self.send_note(session, "level", rung)
+
     def answer_late(self, session: str) -> None:
         """Answer a set-up late, on its own connection, as if the answer had crossed the set-up's TEARDOWN."""
         writer = self.setup_connections[session]
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -218,9 +218,9 @@
         session = viewer.request_play(at="n2", patience="0")
         viewer.request_play(session, at="n2", patience="0")  # adopted twice
         node = env.platform.nodes["n2"]
+        node.hold(session, rung=2)
         await env.wait_until(lambda: node.connections)  # on which the node can report the end
-        node.sessions[session] = next(iter(node.connections))
-        node.send_note(session, "level", 2)
+        await env.wait_until(lambda: session in env.relay.driver.module.plays)
         await env.wait_until(lambda: env.relay.driver.module.plays[session].rung == 2)
         node.end(session, 16)
         assert cause(await viewer.wait_for_message(session)) == 16 and len(viewer.received[session]) == 1
@@ -279,7 +279,9 @@
     async with deployment(tmp_path, nodes=("n0", "n1"), permissions__idle_close_ms=1e7) as env:
         viewer, real = await env.platform.viewer(env.port), nodes.connect
         asked = [viewer.request_play(at=f"n{i % 2}", patience="0") for i in range(4)]
-        await env.wait_until(lambda: all(n.connections for n in env.platform.nodes.values()))
+        for i, session in enumerate(asked):
+            env.platform.nodes[f"n{i % 2}"].hold(session)
+        await env.wait_until(lambda: env.relay.driver.plays.keys() == set(asked))
         port = env.platform.nodes["n0"].port
 
         def connect(loop, address, owner):
