Relay: an answer is believed only if nothing unreadable follows it

Cause: MessageReader.feed returns the messages before an error with the error, and Nodes.data_received handled them all before it looked at the error. The bytes behind a message are the only proof of its length. Ruled out: the viewers' messages (each parameter has a length of its own), the HTTP client (its parser raises before a response is handed on), events of the channel (JSON, ended by an empty line).

Related paths, mended with it: surplus that lies unread in the socket, surplus that may begin a message (a cut within a line), a length that is too large, a TEARDOWN with a description, a refusal before noise.

Change: relay/nodes.py (data_received, read_ahead, handle_received, watch_rest, rest_timed_out). The last message before bytes that are no message is not believed unless it is a request without a body; while an incomplete message follows, it waits. The rest of a message has 0.25 s, then the connection ends as spoilt; SetUp.stop needs no look at half an answer any more. Set-ups on it end as "error", which may have run. The stand-in node has three behaviours with lengths that do not fit.

--- a/curlewhall/relay/node_state.py
+++ b/curlewhall/relay/node_state.py
@@ -11,7 +11,6 @@
     from .nodes import Nodes
     from .viewers import PlayInfo
 
-PARTIAL_ANSWER_S = 0.05  # in which the rest of an answer comes, once it has begun
 MAX_FAILED_SETUPS = 256  # on a connection until it gets no more: far more than fail in its usual life
 # states of a `SetUp`
 WAITING = "waiting"
@@ -68,17 +67,10 @@
         """End it: as `how` if it was sent, else as "not_sent"."""
         if self.state == SETTLED:
             return
-        connection, sent = self.connection, self.state == SENT
+        sent = self.state == SENT
         if sent:
             self.nodes.abandon_set_up(self)
         self.settle(how if sent else "not_sent", {})
-        if (
-            sent
-            and connection.reader.buffer
-            and time.monotonic() - connection.last_received > PARTIAL_ANSWER_S
-        ):
-            # The answer broke off in the middle: the next message would be read as the rest of it.
-            connection.transport.end("spoilt")
 
     def settle(self, how: str, report: dict) -> None:
         """Tell the driver how it ended. Further calls do nothing."""
@@ -102,6 +94,9 @@
         "transport",
         "node",
         "reader",
+        "received",
+        "reading_ahead",
+        "rest_timer",
         "set_ups",
         "failed_plays",
         "probes",
@@ -114,6 +109,9 @@
     def __init__(self, node: "Node") -> None:
         self.node = node
         self.reader = rtsp.Reader()
+        self.received: list[rtsp.Message] = []  # read, but not handled yet
+        self.reading_ahead = False  # `Nodes.read_ahead` reads
+        self.rest_timer = None  # runs while an incomplete message waits for its rest
         self.set_ups: dict[str, SetUp] = {}  # open on it, or waiting for it to come up
         # plays whose set-ups failed here -> whether it was abandoned, so that an answer may still come
         self.failed_plays: dict[str, bool] = {}
@@ -128,6 +126,13 @@
         """Whether no answer is waited for on it."""
         return not self.set_ups and not self.probes
 
+    def cancel_timers(self) -> None:
+        """Cancel the timeouts of a connection that has ended."""
+        for timer in (self.connect_timer, self.rest_timer):
+            if timer is not None:
+                timer.cancel()
+        self.rest_timer = None
+
     def accepts(self, play: str) -> bool:
         """Whether a set-up of this play may be sent on it.
 
--- a/curlewhall/relay/nodes.py
+++ b/curlewhall/relay/nodes.py
@@ -33,6 +33,8 @@
 CHECK_INTERVAL_S = 0.5
 MOVED_SESSION_TIMEOUT_S = 0.5  # for the end of a moved session, which its node reports by itself
 MAX_CONNECTIONS_PER_NODE = 8  # set-ups out at one node at a time are fewer by far
+MAX_READS_AHEAD = 4  # of 16 KiB each: four messages of the longest kind
+REST_TIMEOUT_S = 0.25  # for the rest of a message that has begun: a lost segment is sent again within it
 MAX_QUEUED_MESSAGES = 64  # for a node that is out of reach
 NOTE_KINDS = {"got": "delivered", "level": "rung", "port": "link_asked", "spine": "uplink_asked"}
 ENDING_BY_STATUS = {453: "full", 454: "not_sent", 504: "broken"}  # of refused set-ups; any other: "error"
@@ -215,7 +217,7 @@
             return
         node, partial = connection.node, bool(connection.reader.buffer)
         node.connections.remove(connection)
-        connection.connect_timer.cancel()
+        connection.cancel_timers()
         if not transport.was_connected:
             node.failed_connects += 1
         if why == "unreached":
@@ -258,7 +260,7 @@
         """Close a connection without `connection_lost`, whatever is open on it."""
         self.connections.pop(connection.transport, None)
         connection.node.connections.remove(connection)
-        connection.connect_timer.cancel()
+        connection.cancel_timers()
         connection.transport.close()
 
     def ensure_connection(self, node: Node) -> None:
@@ -519,17 +521,67 @@
         """Bytes came on a connection: handle the messages in them."""
         connection = self.connections[transport]
         connection.last_received = connection.node.last_received = time.monotonic()
-        for message in connection.reader.feed(data):
-            self.handle_message(connection, message)
-            if transport.closed:
+        found = connection.reader.feed(data)
+        connection.received += found
+        self.watch_rest(connection, bool(found))
+        if not connection.reading_ahead:
+            self.read_ahead(connection)
+            self.handle_received(connection)
+
+    def watch_rest(self, connection: Connection, completed: bool) -> None:
+        """Start the timeout for the rest of a message that has begun; `completed`: another was completed."""
+        if connection.rest_timer is not None and (completed or not connection.reader.buffer):
+            connection.rest_timer.cancel()
+            connection.rest_timer = None
+        if connection.rest_timer is None and connection.reader.buffer:
+            connection.rest_timer = self.timers.after(REST_TIMEOUT_S, self.rest_timed_out, connection)
+
+    def rest_timed_out(self, connection: Connection) -> None:
+        """End a connection on which a message was begun and not finished, once what lies unread is read."""
+        timer, transport = connection.rest_timer, connection.transport
+        for _ in range(MAX_READS_AHEAD):
+            if transport.has_unread_data():
+                transport.readable()
+        if connection.rest_timer is timer:
+            self.log.warning("message from a node stops short", node=connection.node.id)
+            transport.end("spoilt")
+
+    def read_ahead(self, connection: Connection) -> None:
+        """While the last message has a body, read what lies behind it in the socket: it may show that the
+        length of the body doesn't fit.
+        """
+        transport, connection.reading_ahead = connection.transport, True
+        for _ in range(MAX_READS_AHEAD):
+            ends_with_body = connection.received and connection.received[-1].body
+            if not ends_with_body or connection.reader.error or not transport.has_unread_data():
+                break
+            transport.readable()
+        connection.reading_ahead = False
+
+    def handle_received(self, connection: Connection) -> None:
+        """Handle the messages that were received; end the connection if what came after them is no message.
+
+        A length that doesn't fit shows only in the bytes behind its message. So the last message is not
+        believed if they are no message, and waits while they may be the beginning of one. A request without a
+        body is whole by its head.
+        """
+        received, connection.received = connection.received, []
+        error = connection.reader.error
+        if received and (error or connection.reader.buffer) and (received[-1].body or received[-1].status):
+            last = received.pop()
+            if not error:
+                connection.received.append(last)
+        for message in received:
+            if connection.transport.closed:
                 return
-        if connection.reader.error:
+            self.handle_message(connection, message)
+        if error and not connection.transport.closed:
             self.log.warning(
                 "message from a node is invalid; its connection is closed",
                 node=connection.node.id,
-                why=connection.reader.error,
+                why=error,
             )
-            transport.end("spoilt")
+            connection.transport.end("spoilt")
 
     def handle_message(self, connection: Connection, message: rtsp.Message) -> None:
         """Handle a request or a response of a node."""
--- a/curlewhall/standins/platform.py
+++ b/curlewhall/standins/platform.py
@@ -29,6 +29,9 @@
     "minus": b"RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: %s\r\nContent-Length: -4\r\n\r\n",
     "nameless": b"RTSP/1.0 200 OK\r\nCSeq: 1\r\nContent-Length: 0\r\n\r\n",
 }
+# Behaviours of a node whose answers have a wrong Content-Length: by how much it differs from the right one.
+LENGTH_ERRORS = {"length-short-line": -35, "length-short": -3, "length-long": 20}
+LAST_LINE = b"a=rtpmap:101 telephone-event/8000\r\n"  # of their descriptions
 
 
 def abort(writer) -> None:
@@ -55,6 +58,7 @@
     - break: it resets the connection.
     - twice: it sends its answer twice.
     - ahead: it sends an answer for an unknown session first.
+    - a name of `LENGTH_ERRORS`: its answer has a Content-Length that does not fit; the session runs.
     - a name of `REFUSAL_STATUSES` or `INVALID_ANSWERS`.
 
     A list of such names applies one name to each set-up, the last one to all further set-ups.
@@ -161,6 +165,14 @@
             self.pending.pop(session, None)
             self.record("answered", session, description)
             self.record("ended", session, 16)
+        elif behaviour in LENGTH_ERRORS:
+            description += b"\r\n" + LAST_LINE
+            fits = b"Content-Length: %d\r" % len(description)
+            wrong = b"Content-Length: %d\r" % (len(description) + LENGTH_ERRORS[behaviour])
+            writer.write(self.answer(200, session, description).replace(fits, wrong))
+            self.pending.pop(session, None)
+            self.sessions[session] = writer
+            self.record("answered", session, description)
         elif behaviour in REFUSAL_STATUSES:
             writer.write(self.answer(REFUSAL_STATUSES[behaviour], session))
             self.pending.pop(session, None)
--- a/tests/relay/deployment.py
+++ b/tests/relay/deployment.py
@@ -114,6 +114,11 @@
     )
 
 
+def cause(message):
+    """The cause of a release to a viewer."""
+    return message.fields[messages.CAUSE][0]
+
+
 class RelayWrites:
     """Records in `platform.traffic` what the relay writes to its nodes, in the order in which it writes."""
 
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -6,18 +6,14 @@
 
 import pytest
 from loopback import looped
-from relay.deployment import RelayWrites, deployment, overlapping
+from relay.deployment import RelayWrites, cause, deployment, overlapping
 
 from curlewhall.codecs import messages
-from curlewhall.codecs.messages import ANSWER, CAUSE, DESCRIPTION, RELEASE
+from curlewhall.codecs.messages import ANSWER, DESCRIPTION, RELEASE
 from curlewhall.relay import decide, node_state, nodes, viewers
 from curlewhall.standins.platform import INVALID_ANSWERS, release
 
 
-def cause(message):
-    return message.fields[CAUSE][0]
-
-
 def made(node, session):
     return b"node %s made this for %s" % (node.encode(), session.encode())
 
