Relay: releases lost with a node's connection are repeated on a new one

Cause: a node repeats a release only on the next connection that opens. Nodes.connection_lost and ensure_connection opened one only where none was left; check_connections looked at node.last_received, which is one for all connections, so light traffic on one hid that another was dead. Ruled out: a release that the front received and lost (in the record each late one arrives with the node's next connection); the viewers' side.

Change: relay/nodes.py, node_state.py, wire/transport.py (finish). A connection that did not end with the node's own close is replaced at once; the front's own closes are read until the node has closed, too, 0.5 s at most; one closed to make room gets a successor when there is room; silence is counted for a connection on which an answer is awaited or overdue; idle silent ones are closed before the new one opens; one without a byte for 1 s after a set-up was given up gets no more.

--- a/curlewhall/relay/node_state.py
+++ b/curlewhall/relay/node_state.py
@@ -103,7 +103,10 @@
         "last_received",
         "last_used",
         "retiring",
+        "doubted_since",
+        "began_at",
         "connect_timer",
+        "close_timer",
     )
 
     def __init__(self, node: "Node") -> None:
@@ -116,9 +119,12 @@
         # plays whose set-ups failed here -> whether it was abandoned, so that an answer may still come
         self.failed_plays: dict[str, bool] = {}
         self.probes: dict[str, float] = {}  # session of the probe -> when it was asked for
-        self.last_received = self.last_used = time.monotonic()
+        self.began_at = self.last_received = self.last_used = time.monotonic()
         self.retiring = False  # it gets no more set-ups, and is closed once it is idle
+        # Since when an answer is overdue on it and nothing else has come; None: no answer is.
+        self.doubted_since: float | None = None
         self.connect_timer = None
+        self.close_timer = None  # runs from `Nodes.begin_close` on
         self.transport = None
 
     @property
@@ -126,9 +132,16 @@
         """Whether no answer is waited for on it."""
         return not self.set_ups and not self.probes
 
+    def awaited_since(self) -> float | None:
+        """Since when an answer is awaited on it, or is overdue; None: none is."""
+        since = [set_up.started_at for set_up in self.set_ups.values()]
+        if self.doubted_since is not None:
+            since.append(self.doubted_since)
+        return min(since, default=None)
+
     def cancel_timers(self) -> None:
         """Cancel the timeouts of a connection that has ended."""
-        for timer in (self.connect_timer, self.rest_timer):
+        for timer in (self.connect_timer, self.rest_timer, self.close_timer):
             if timer is not None:
                 timer.cancel()
         self.rest_timer = None
@@ -177,9 +190,11 @@
         # session -> how many TEARDOWNs are not acknowledged, and when the last was sent
         self.pending_teardowns: dict[str, tuple[int, float]] = {}
         self.waiting_set_ups: dict[str, SetUp] = {}  # session -> a set-up that waits for these TEARDOWNs
+        # When a connection ended on which a release may have been lost, until a later one is up.
+        self.release_lost_at: float | None = None
         self.failed_connects = 0  # in a row
         self.reconnect_timer = None
-        self.last_received = time.monotonic()
+        self.last_received = self.last_connected = time.monotonic()
 
     @property
     def holds_sessions(self) -> bool:
@@ -191,6 +206,25 @@
         """What must not change while a set-up waits: the list may tell of a drain or a new start."""
         return self.row.state, self.row.started, self.address
 
+    def needs_connection(self) -> bool:
+        """Whether a new connection is needed for the ends of its sessions.
+
+        A node repeats a release that was lost with its connection on the next one that opens, on no other.
+        """
+        if not self.connections:
+            return True
+        lost_at = self.release_lost_at
+        return lost_at is not None and all(c.began_at < lost_at for c in self.connections)
+
+    def silent_s(self, connection: Connection, now: float) -> float:
+        """For how long an open connection may have been dead: since the last byte of its node, or on it alone
+        if an answer is awaited there. A newer connection, on which releases are repeated, ends this time.
+        """
+        awaited_since = connection.awaited_since()
+        if awaited_since is None:
+            return now - max(self.last_received, self.last_connected)
+        return now - max(connection.last_received, awaited_since, self.last_connected)
+
     def open_connections(self) -> list[Connection]:
         """Those that are up and not retiring, the one that received last first."""
         sound = (c for c in self.connections if c.transport.open and not c.retiring)
--- a/curlewhall/relay/nodes.py
+++ b/curlewhall/relay/nodes.py
@@ -31,6 +31,8 @@
 RECONNECT_DELAYS_S = (0.1, 0.5, 1.0)  # after the first, the second and any further failed connect
 REMOVAL_DELAY_S = 0.5  # for the last messages of a node that the list calls gone
 CHECK_INTERVAL_S = 0.5
+CLOSE_TIMEOUT_S = 0.5  # for a node's close after this side's
+DOUBT_S = 1.0  # without a byte after an answer was given up, until a connection gets no more set-ups
 MOVED_SESSION_TIMEOUT_S = 0.5  # for the end of a moved session, which its node reports by itself
 MAX_CONNECTIONS_PER_NODE = 8  # set-ups out at one node at a time are fewer by far
 MAX_READS_AHEAD = 4  # of 16 KiB each: four messages of the longest kind
@@ -140,13 +142,13 @@
 
     # ---- connections
 
-    def open(self, node: Node) -> Connection | None:
-        """Begin to connect; None if the node is not listed any more, or no further connection may be had."""
-        if (
-            not self.is_listed(node)
-            or len(self.connections) >= self.max_connections
-            and not self.free_connection()
-        ):
+    def open(self, node: Node, make_room: bool = True) -> Connection | None:
+        """Begin to connect; None if the node is not listed any more, or no further connection may be had.
+        `make_room`: an idle connection may be closed for it.
+        """
+        if not self.is_listed(node):
+            return None
+        if len(self.connections) >= self.max_connections and not (make_room and self.free_connection()):
             return None
         connection = Connection(node)
         try:
@@ -162,12 +164,18 @@
         return connection
 
     def free_connection(self) -> bool:
-        """Close the idle connection that was unused longest; False if none can be closed. A node's only
-        connection is spared while sessions are there and another can be closed.
+        """Close an idle connection at once, to open another; False if none can be closed. The one that was
+        unused longest, of a node without sessions if there is one; a node's only connection comes last.
         """
-        free = [c for c in self.connections.values() if c.idle]
-        spare = [c for c in free if len(c.node.connections) > 1 or not c.node.holds_sessions] or free
-        return any(self.close_if_idle(c) for c in sorted(spare, key=lambda c: c.last_used))
+        for connection in sorted(
+            (c for c in self.connections.values() if c.idle),
+            key=lambda c: (c.node.holds_sessions, len(c.node.connections) < 2, c.last_used),
+        ):
+            if self.can_close(connection):
+                self.close_connection(connection)
+                self.note_lost_release(connection.node)
+                return True
+        return False
 
     def choose_connection(self, node: Node, play: str) -> Connection | None:
         """The connection for a set-up: an idle one, else a new one, else the one with the fewest open."""
@@ -193,8 +201,10 @@
         connection = self.connections[transport]
         connection.connect_timer.cancel()
         node, now = connection.node, time.monotonic()
-        connection.last_received = node.last_received = now
+        connection.last_received = node.last_received = node.last_connected = now
         node.failed_connects = 0
+        if node.release_lost_at is not None and connection.began_at >= node.release_lost_at:
+            node.release_lost_at = None
         for session in node.unconfirmed.values():
             session.awaited_since = session.awaited_since or now
         while node.queued_messages and transport.send(node.queued_messages[0]):
@@ -216,8 +226,11 @@
         if connection is None:
             return
         node, partial = connection.node, bool(connection.reader.buffer)
-        node.connections.remove(connection)
+        if connection in node.connections:  # otherwise it is being closed from this side
+            node.connections.remove(connection)
         connection.cancel_timers()
+        if transport.was_connected and (why != "closed" or partial):
+            self.note_lost_release(node)
         if not transport.was_connected:
             node.failed_connects += 1
         if why == "unreached":
@@ -241,31 +254,49 @@
             self.teardown_acknowledged(node, play)  # the node hears of the end, at the latest, with this
         self.ensure_connection(node)
 
-    def close_if_idle(self, connection: Connection) -> bool:
-        """Close a connection that is not needed; whether it was closed. Outside `close_all`, nothing else
-        closes connections to nodes from this side while they are sound.
+    def note_lost_release(self, node: Node) -> None:
+        """A connection has ended before what its node had written was read to its end."""
+        if node.holds_sessions:
+            node.release_lost_at = time.monotonic()
 
-        One with unread bytes stays open: what its node has just written, such as the end of a session, would
-        be lost.
+    def can_close(self, connection: Connection) -> bool:
+        """Whether a connection is not needed, and nothing lies unread on it: what its node has just written,
+        such as the end of a session, would be lost.
         """
         if not connection.idle or connection.transport.queue:
             return False
         if connection.transport.has_unread_data():
             self.loop.call_soon(connection.transport.readable)
             return False
-        self.close_connection(connection)
+        return True
+
+    def close_if_idle(self, connection: Connection) -> bool:
+        """Close a connection that is not needed; whether that was begun. While its node has sessions, a
+        release may be on its way, so the connection is read until the node has closed it, too.
+        """
+        if not self.can_close(connection):
+            return False
+        if connection.node.holds_sessions and connection.transport.open:
+            connection.node.connections.remove(connection)
+            connection.close_timer = self.timers.after(
+                CLOSE_TIMEOUT_S, connection.transport.end, "not closed"
+            )
+            connection.transport.finish()
+        else:
+            self.close_connection(connection)
         return True
 
     def close_connection(self, connection: Connection) -> None:
-        """Close a connection without `connection_lost`, whatever is open on it."""
+        """Close a connection at once and without `connection_lost`, whatever is open on it."""
         self.connections.pop(connection.transport, None)
-        connection.node.connections.remove(connection)
+        if connection in connection.node.connections:
+            connection.node.connections.remove(connection)
         connection.cancel_timers()
         connection.transport.close()
 
     def ensure_connection(self, node: Node) -> None:
-        """Keep a connection to a node with sessions, on which it can report their ends; take the sessions for
-        ended if it can't be reached.
+        """Keep a connection to a node with sessions, on which it can report their ends, and open a new one if
+        a report may have been lost; take the sessions for ended if the node can't be reached.
         """
         if self.closed or not node.holds_sessions or not self.is_listed(node):
             return
@@ -278,7 +309,7 @@
                 sessions=len(node.sessions) + len(node.unconfirmed),
             )
             self.lose_sessions(node)
-        elif not node.connections and node.reconnect_timer is None:
+        elif node.needs_connection() and node.reconnect_timer is None:
             delay = (
                 RECONNECT_DELAYS_S[min(node.failed_connects - 1, len(RECONNECT_DELAYS_S) - 1)]
                 if node.failed_connects
@@ -287,15 +318,11 @@
             node.reconnect_timer = self.timers.after(delay, self.reconnect, node)
 
     def reconnect(self, node: Node) -> None:
-        """Connect to a node with sessions and no connection; try again later if none can be opened."""
+        """Connect to a node with sessions if it needs a connection; try again later if none can be opened."""
         node.reconnect_timer = None
-        if (
-            not self.closed
-            and self.is_listed(node)
-            and not node.connections
-            and node.holds_sessions
-            and self.open(node) is None
-        ):
+        if self.closed or not self.is_listed(node) or not node.holds_sessions or not node.needs_connection():
+            return
+        if self.open(node, make_room=not node.connections) is None:
             node.reconnect_timer = self.timers.after(RECONNECT_DELAYS_S[-1], self.reconnect, node)
 
     def check_connections(self) -> None:
@@ -310,6 +337,9 @@
         )
         for node in list(self.nodes.values()):
             for connection in [c for c in node.connections if c.transport.open]:
+                doubted_since = connection.doubted_since
+                if doubted_since is not None and now - doubted_since > DOUBT_S:
+                    connection.retiring = True
                 if connection.retiring or (
                     now - max(connection.last_used, connection.last_received) > idle_timeout_s
                     and (len(node.connections) > 1 or not node.holds_sessions)
@@ -321,15 +351,26 @@
                 del node.pending_teardowns[play]  # nodes need not acknowledge a TEARDOWN
             self.drop_unreported(node, now)
             if node.holds_sessions and node.row.state != "gone":
-                if not node.connections:
+                if node.needs_connection():
                     self.ensure_connection(node)
-                elif now - node.last_received > self.silence_timeouts.allowed(node.row.zone, now) and all(
-                    c.transport.open for c in node.connections
-                ):
-                    self.open(node)
+                self.replace_silent(node, now)
         if not self.closed:
             self.timers.after(CHECK_INTERVAL_S, self.check_connections)
 
+    def replace_silent(self, node: Node, now: float) -> None:
+        """Open a new connection to a node with sessions if one of its connections may be dead. It is opened
+        after the idle ones are closed: what was written to those is repeated on it.
+        """
+        allowed_s = self.silence_timeouts.allowed(node.row.zone, now)
+        silent = [c for c in node.connections if node.silent_s(c, now) > allowed_s]
+        if not silent or not all(c.transport.open for c in node.connections):
+            return
+        for connection in silent:
+            if self.can_close(connection):
+                self.close_connection(connection)
+        self.note_lost_release(node)
+        self.open(node)
+
     # ---- requests to nodes
 
     def set_up(self, active_play: ActivePlay, number: int, name: str, span: float) -> SetUp | None:
@@ -419,8 +460,10 @@
             connection.transport.send(rtsp.request("TEARDOWN", set_up.active_play.info.title, play, 2)),
         )
         connection.failed_plays[play] = True
+        if connection.doubted_since is None:
+            connection.doubted_since = time.monotonic()  # it may be dead though it is open
         if connection.last_received < set_up.started_at:
-            connection.retiring = True  # silent since before the set-up: it may be dead though it is open
+            connection.retiring = True
 
     def note_teardown(self, node: Node, play: str, sent: bool) -> None:
         """Count a TEARDOWN that was sent, until the node acknowledges it."""
@@ -521,6 +564,7 @@
         """Bytes came on a connection: handle the messages in them."""
         connection = self.connections[transport]
         connection.last_received = connection.node.last_received = time.monotonic()
+        connection.doubted_since = None
         found = connection.reader.feed(data)
         connection.received += found
         self.watch_rest(connection, bool(found))
--- a/curlewhall/wire/transport.py
+++ b/curlewhall/wire/transport.py
@@ -138,6 +138,14 @@
         if not self.queue:
             self.loop.remove_writer(self.sock.fileno())
 
+    def finish(self) -> None:
+        """Send no more, and tell the other side so; what it has sent is read until it closes, too."""
+        self.open = False
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self.loop.call_soon(self.end, "reset")
+
     def close(self) -> None:
         """Close the socket without calling the owner."""
         if not self.closed:
