Module: sums over time have a bound on their entries, whatever clients send

Change: policy.py. Entries are doubles in arrays, 16 bytes each, and once there are 16,384 amounts within 2.4 ms (for 10 s) share one; a sum then lacks at most what shares an entry with the beginning of its window, so the budget of further allocations is never counted too large. At usual rates the sums are exact, as before.

--- a/curlewhall/policy.py
+++ b/curlewhall/policy.py
@@ -6,6 +6,7 @@
 The design is described in `docs/design.md`.
 """
 
+from array import array
 from bisect import bisect_right
 from collections import deque
 from zlib import crc32
@@ -21,6 +22,9 @@
 RATE_HISTORY_TICKS = 10 * TICKS_PER_SECOND  # how long changes of rate and requests by place are kept
 REPORT_VALIDITY_TICKS = 5 * TICKS_PER_SECOND  # about as long as a tenth of the plays last
 REPORT_DELAY_TICKS = TICKS_PER_SECOND // 2  # reports are refreshed and delayed by fractions of a second
+MAX_WINDOW_ENTRIES = (
+    16_384  # of 16 bytes: more than any front's usual requests need, and little under a flood
+)
 CUSTOMER_WINDOW_S = 5  # about as long as a crowd takes to build up
 
 # Some twenty times the longest restart seen. A node that returns later counts as new and is paced as such.
@@ -62,25 +66,48 @@
     """Sums of the amounts added over time, for windows that end now.
 
     Running totals are kept by time: amounts of one moment share an entry, and a query is a binary search
-    instead of a walk over all entries of a window, since thousands of plays may arrive in one second.
+    instead of a walk over all entries of a window, since thousands of plays may arrive in one second. Once
+    there are `MAX_WINDOW_ENTRIES`, amounts share an entry if they are closer than `granularity`; a sum may
+    then lack those that share an entry with the beginning of its window.
     """
 
     def __init__(self, kept_ticks: int):
         self.kept_ticks = kept_ticks
-        self.times = [NEVER]
-        self.totals = [0]
+        self.granularity = 1  # ticks
+        self.times = array("d", (NEVER,))
+        self.totals = array("d", (0,))
 
     def add(self, now: int, amount: float) -> None:
         """Add an amount at `now`, which is never before an earlier call's."""
-        if self.times[-1] != now:
+        if now - self.times[-1] >= self.granularity:
+            self.make_room(now)
             self.times.append(now)
             self.totals.append(self.totals[-1])
-            half = len(self.times) // 2
-            # Dropping half of the entries at once keeps the average cost of a call low.
-            if half > 64 and self.times[half] < now - self.kept_ticks:
-                del self.times[:half], self.totals[:half]
         self.totals[-1] += amount
 
+    def make_room(self, now: int) -> None:
+        """Drop half of the entries at once, which keeps the average cost of a call low, if no window reaches
+        them any more. Otherwise merge entries once there are too many.
+        """
+        half = len(self.times) // 2
+        if half > 64 and self.times[half] < now - self.kept_ticks:
+            del self.times[:half], self.totals[:half]
+            self.granularity = 1
+        elif len(self.times) >= MAX_WINDOW_ENTRIES:
+            self.merge_entries()
+
+    def merge_entries(self) -> None:
+        """Merge entries so that twice the kept time needs half of the most entries."""
+        self.granularity = 4 * self.kept_ticks / MAX_WINDOW_ENTRIES
+        times, totals = self.times[:1], self.totals[:1]
+        for time, total in zip(self.times[1:], self.totals[1:], strict=True):
+            if time - times[-1] >= self.granularity:
+                times.append(time)
+                totals.append(total)
+            else:
+                totals[-1] = total
+        self.times, self.totals = times, totals
+
     def sum_since(self, when: float) -> float:
         """The sum of what was added after `when`, which must lie within `kept_ticks`."""
         return self.totals[-1] - self.totals[bisect_right(self.times, when) - 1]
