Relay: unanswered set-ups are bounded; at the limit each connection keeps its share

Ruled out by counting each table: messages not handled, bytes queued to clients, plays that were over.

Change: relay/viewers.py (is_overloaded), decide.py (MAX_OPEN_SET_UPS, fair_share).

--- a/curlewhall/relay/decide.py
+++ b/curlewhall/relay/decide.py
@@ -25,6 +25,7 @@
 MAX_COUNTED_TIME_LIMIT_S = 3.0  # by the page: the kill waits for the longest time limit, at most this
 KILL_AFTER_TIME_LIMIT_S = 0.7  # by the page
 KILL_MARGIN_S = 0.3  # for the way of the last answers, and for a busy core that handles SIGTERM late
+MAX_OPEN_SET_UPS = 2000  # unanswered at one time, some kB each: far more than usual viewers have
 SUSPECT_SILENCE_S = 3.0  # silence allowed to a node in a zone where a machine may have vanished
 
 
@@ -102,6 +103,11 @@
         )
 
 
+def fair_share(connections: int) -> int:
+    """How many unanswered set-ups each of `connections` connections may have once there are too many."""
+    return MAX_OPEN_SET_UPS // max(1, connections)
+
+
 class AdoptionLimits:
     """How many sessions of before this process a node may hold, and how long one may go unconfirmed.
 
--- a/curlewhall/relay/viewers.py
+++ b/curlewhall/relay/viewers.py
@@ -18,6 +18,7 @@
 from curlewhall.wire.timers import Timers
 from curlewhall.wire.transport import Transport
 
+from . import decide
 from .null_objects import Log
 
 # 3 s are allowed from the opening of a connection, and a check may come late on a busy core
@@ -155,6 +156,7 @@
         self.rungs = len(start_settings["specifics.rung_kb"])
         self.connections: dict[Transport, Connection] = {}
         self.sessions: dict[str, Session] = {}
+        self.open_set_ups = 0  # sessions that are owed an answer
         # releases without a connection: session -> when it ended, and the message
         self.undelivered: OrderedDict[str, tuple[float, bytes]] = OrderedDict()
         self.served: OrderedDict[Connection, None] = OrderedDict()  # connections with a success, latest last
@@ -430,6 +432,7 @@
             # Clients that never stop sending would keep the connection open until the process is killed, and
             # what is unanswered then is lost. A refusal does no harm: they ask another front.
             self.refused += 1
+        if self.refusing or self.is_overloaded(connection):
             connection.transport.send(messages.encode(messages.RELEASE, name, cause=bytes((CONGESTION,))))
             return
         now = self.driver.clock.now()
@@ -437,9 +440,19 @@
         active_play = ActivePlay(info, info, session, now + limit, now)
         session.active_play = active_play
         self.sessions[name] = connection.open_set_ups[name] = session
+        self.open_set_ups += 1
         moved = self.moved_viewers.pop(info.viewer, self) is None
         self.driver.accept_request(active_play, attributes.get("again") == "1", moved)
 
+    def is_overloaded(self, connection: Connection) -> bool:
+        """Whether another set-up on this connection is refused: too many are unanswered, and it has its share
+        of them.
+        """
+        if self.open_set_ups < decide.MAX_OPEN_SET_UPS:
+            return False
+        others = sum(bool(c.open_set_ups) for c in self.connections.values() if c is not connection)
+        return len(connection.open_set_ups) >= decide.fair_share(1 + others)
+
     def parse_set_up(self, message: messages.Message) -> tuple[PlayInfo, dict[str, str], int]:
         """Info, attributes and patience (in ticks) of a set-up; raises `SetUpError` for what the module must
         not get.
@@ -540,6 +553,7 @@
     def forget(self, session: Session) -> None:
         """Remove a session from the tables; its connection counts as active until now."""
         self.sessions.pop(session.id, None)
+        self.open_set_ups -= not session.established
         if session.connection is not None:
             session.connection.open_set_ups.pop(session.id, None)
             session.connection.sessions.pop(session.id, None)
