--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,7 @@
 """Start settings and a harness for tests of the decision module."""
 
+import time
+
 import pytest
 
 from curlewhall.interface import NodeRow
@@ -128,3 +130,13 @@
 def make_harness():
     """The class, for tests that change start settings."""
     return Harness
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    """A clock in place of `time.monotonic` that stands until it is advanced."""
+    from relay.deployment import Clock  # which imports this module
+
+    stands = Clock()
+    monkeypatch.setattr(time, "monotonic", stands)
+    return stands
--- a/tests/relay/test_adoption.py
+++ b/tests/relay/test_adoption.py
@@ -5,7 +5,7 @@
 
 import pytest
 from loopback import looped
-from relay.deployment import Client, Clock, deployment
+from relay.deployment import Client, deployment
 
 from curlewhall.codecs.messages import ANSWER, RELEASE
 from curlewhall.relay.decide import AdoptionLimits, SilenceTimeouts
@@ -14,13 +14,6 @@
 UNKNOWN_SESSIONS = 3000  # far more than all nodes have streams
 
 
-@pytest.fixture
-def clock(monkeypatch):
-    stands = Clock()
-    monkeypatch.setattr(time, "monotonic", stands)
-    return stands
-
-
 def sizes(relay):
     """The lengths of all tables that a session of before the start may be in."""
     nodes = relay.nodes.nodes.values()
--- a/tests/relay/test_channel.py
+++ b/tests/relay/test_channel.py
@@ -1,23 +1,14 @@
 """The command channel: parsing, repeated, partial and missing events, silence, another address."""
 
 import json
-import time
 
 import pytest
 from loopback import looped
-from relay.deployment import Clock, deployment
+from relay.deployment import deployment
 
 from curlewhall.relay import channel, decide
 from curlewhall.standins.platform import Channel
 
-
-@pytest.fixture
-def clock(monkeypatch):
-    stands = Clock()
-    monkeypatch.setattr(time, "monotonic", stands)
-    return stands
-
-
 RAW = b': here\n\nid: 1\ndata: {"a":1}\n\n:\n\nid:2\r\ndata: {"b":\r\ndata: 2}\r\n\r\n'
 
 
--- a/tests/relay/test_crossings.py
+++ b/tests/relay/test_crossings.py
@@ -11,7 +11,7 @@
 
 import pytest
 from loopback import looped
-from relay.deployment import Client, Clock, deployment, set_up
+from relay.deployment import Client, deployment, set_up
 
 from curlewhall.codecs import messages, rtsp
 from curlewhall.codecs.messages import ANSWER, RELEASE
@@ -19,13 +19,6 @@
 from curlewhall.wire.transport import Transport
 
 
-@pytest.fixture
-def clock(monkeypatch):
-    stands = Clock()
-    monkeypatch.setattr(time, "monotonic", stands)
-    return stands
-
-
 class HeldConnects:
     """Holds connections to nodes back until `complete` is called."""
 
--- a/tests/relay/test_lost_releases.py
+++ b/tests/relay/test_lost_releases.py
@@ -1,10 +1,8 @@
 """Releases of nodes that are lost with their connection: the node repeats them on the next one that opens."""
 
-import time
-
 import pytest
 from loopback import looped
-from relay.deployment import Client, Clock, deployment, set_up
+from relay.deployment import Client, deployment, set_up
 
 from curlewhall.codecs.messages import RELEASE
 from curlewhall.relay import nodes
@@ -14,13 +12,6 @@
 NORMAL_CLEARING = 16
 
 
-@pytest.fixture
-def clock(monkeypatch):
-    stands = Clock()
-    monkeypatch.setattr(time, "monotonic", stands)
-    return stands
-
-
 async def two_connections(env, client):
     """Two established sessions of one node, each on a connection of its own."""
     node = env.platform.nodes["n0"]
--- a/tests/relay/test_spoilt_answers.py
+++ b/tests/relay/test_spoilt_answers.py
@@ -1,10 +1,8 @@
 """Answers of nodes that are spoilt on their way: lengths that do not fit, and messages that stop short."""
 
-import time
-
 import pytest
 from loopback import looped
-from relay.deployment import Client, Clock, cause, deployment
+from relay.deployment import Client, cause, deployment
 
 from curlewhall.codecs import rtsp
 from curlewhall.codecs.messages import ANSWER, DESCRIPTION, RELEASE
@@ -15,13 +13,6 @@
 TEMPORARY_FAILURE = 41  # release cause: the play may have run
 
 
-@pytest.fixture
-def clock(monkeypatch):
-    stands = Clock()
-    monkeypatch.setattr(time, "monotonic", stands)
-    return stands
-
-
 def served(env, client, session):
     """Descriptions with which a session was answered, and those that nodes made for it."""
     got = [bytes(m.fields[DESCRIPTION]) for m in client.answers(session) if m.kind == ANSWER]
