--- a/curlewhall/relay/node_state.py
+++ b/curlewhall/relay/node_state.py
@@ -104,6 +104,7 @@
         "last_used",
         "retiring",
         "doubted_since",
+        "overdue_since",
         "began_at",
         "connect_timer",
         "close_timer",
@@ -121,8 +122,10 @@
         self.probes: dict[str, float] = {}  # session of the probe -> when it was asked for
         self.began_at = self.last_received = self.last_used = time.monotonic()
         self.retiring = False  # it gets no more set-ups, and is closed once it is idle
-        # Since when an answer is overdue on it and nothing else has come; None: no answer is.
+        # An answer is overdue on it, and nothing has come since: when its set-up was given up, and when it
+        # was sent. None: no answer is.
         self.doubted_since: float | None = None
+        self.overdue_since: float | None = None
         self.connect_timer = None
         self.close_timer = None  # runs from `Nodes.begin_close` on
         self.transport = None
@@ -135,10 +138,23 @@
     def awaited_since(self) -> float | None:
         """Since when an answer is awaited on it, or is overdue; None: none is."""
         since = [set_up.started_at for set_up in self.set_ups.values()]
-        if self.doubted_since is not None:
-            since.append(self.doubted_since)
+        if self.overdue_since is not None:
+            since.append(self.overdue_since)
         return min(since, default=None)
 
+    def bytes_received(self, now: float) -> None:
+        """Something came on it: whatever is overdue, it is alive."""
+        self.last_received = now
+        self.doubted_since = self.overdue_since = None
+
+    def answer_overdue(self, set_up: SetUp, now: float) -> None:
+        """A set-up that was sent on it is given up: it may be dead though it is open."""
+        if self.doubted_since is None:
+            self.doubted_since = now
+            self.overdue_since = set_up.started_at
+        else:
+            self.overdue_since = min(self.overdue_since, set_up.started_at)
+
     def cancel_timers(self) -> None:
         """Cancel the timeouts of a connection that has ended."""
         for timer in (self.connect_timer, self.rest_timer, self.close_timer):
@@ -217,13 +233,16 @@
         return lost_at is not None and all(c.began_at < lost_at for c in self.connections)
 
     def silent_s(self, connection: Connection, now: float) -> float:
-        """For how long an open connection may have been dead: since the last byte of its node, or on it alone
-        if an answer is awaited there. A newer connection, on which releases are repeated, ends this time.
+        """For how long an open connection may have been dead: since the last byte of its node, or for longer
+        if an answer is awaited on it and it alone is silent. A newer connection, on which releases are
+        repeated, ends this time.
         """
+        alive_at = max(self.last_received, self.last_connected)
         awaited_since = connection.awaited_since()
-        if awaited_since is None:
-            return now - max(self.last_received, self.last_connected)
-        return now - max(connection.last_received, awaited_since, self.last_connected)
+        if awaited_since is not None:
+            # A request proves nothing: it never counts as a later sign of life than the node's own.
+            alive_at = min(alive_at, max(connection.last_received, awaited_since, self.last_connected))
+        return now - alive_at
 
     def open_connections(self) -> list[Connection]:
         """Those that are up and not retiring, the one that received last first."""
--- a/curlewhall/relay/nodes.py
+++ b/curlewhall/relay/nodes.py
@@ -460,8 +460,7 @@
             connection.transport.send(rtsp.request("TEARDOWN", set_up.active_play.info.title, play, 2)),
         )
         connection.failed_plays[play] = True
-        if connection.doubted_since is None:
-            connection.doubted_since = time.monotonic()  # it may be dead though it is open
+        connection.answer_overdue(set_up, time.monotonic())
         if connection.last_received < set_up.started_at:
             connection.retiring = True
 
@@ -563,8 +562,8 @@
     def data_received(self, transport: Transport, data: bytes) -> None:
         """Bytes came on a connection: handle the messages in them."""
         connection = self.connections[transport]
-        connection.last_received = connection.node.last_received = time.monotonic()
-        connection.doubted_since = None
+        connection.node.last_received = now = time.monotonic()
+        connection.bytes_received(now)
         found = connection.reader.feed(data)
         connection.received += found
         self.watch_rest(connection, bool(found))
--- a/tests/relay/test_lost_releases.py
+++ b/tests/relay/test_lost_releases.py
@@ -109,6 +109,73 @@
         assert await release_delay(env, client, first, second) <= RELEASE_LIMIT_S
 
 
+class VanishedMachine:
+    """The machine of node `n0`: its connections stay open and silent, and new ones never come up."""
+
+    def __init__(self, env, monkeypatch):
+        node, self.connect = env.platform.nodes["n0"], nodes.connect
+        self.port = node.port
+        for writer in node.connections:
+            writer.transport.pause_reading()
+        monkeypatch.setattr(nodes, "connect", self.connect_or_wait)
+
+    def connect_or_wait(self, loop, address, owner):
+        transport = self.connect(loop, address, owner)
+        if address[1] == self.port:
+            loop.remove_writer(transport.sock.fileno())  # so that it never counts as up
+        return transport
+
+
+@pytest.mark.parametrize("asked_after_s", [0.5, 2.9, 4.7, 5.7])
+@pytest.mark.parametrize("patience", ["1000", "4000", "25000"])
+@looped
+async def test_set_up_on_the_connection_of_a_vanished_machine_does_not_delay_releases(
+    tmp_path, clock, monkeypatch, asked_after_s, patience
+):
+    """review/7: silence was counted from the set-up, though the node had been silent for long before it."""
+    async with deployment(tmp_path, nodes=("n0",), clock=clock) as env:
+        client = Client(env)
+        standing = client.request_play()
+        await env.advance(0.1)
+        assert standing in env.relay.viewers.sessions
+        VanishedMachine(env, monkeypatch)
+        await env.advance(asked_after_s)
+        client.send(set_up("c" * 16, "paid", patience))
+        await env.advance(RELEASE_LIMIT_S - asked_after_s)
+        assert [m.kind for m in client.answers(standing)][1:] == [RELEASE]
+
+
+@looped
+async def test_set_up_that_is_given_up_does_not_delay_releases_of_its_connection(tmp_path, clock):
+    """Silence was counted anew from the end of a set-up, while a later one kept its connection in use."""
+    async with deployment(tmp_path, nodes=("n0",), clock=clock) as env:
+        client, node = Client(env), env.platform.nodes["n0"]
+        first, second = await two_connections(env, client)
+        usual, env.relay.nodes.max_connections = env.relay.nodes.max_connections, 2  # set-ups share them
+        node.send_note(first, "level", 1)
+        await env.advance(0.01)
+        node.behaviour, node.acknowledges = "silent", False
+        given_up = client.request_play(product="paid", patience="25000")
+        await env.advance(0.1)
+        writer = node.setup_connections[given_up]
+        assert writer is node.sessions[first]
+        on_other = client.request_play(product="paid", patience="25000")
+        await env.advance(0.1)
+        assert node.setup_connections[on_other] is node.sessions[second]
+        writer.transport.pause_reading()  # from here on nothing passes on it
+        lose_release(node, first)
+        relay_connection = env.relay.viewers.sessions[given_up].active_play.pending[0].connection
+        await env.advance(2.5)
+        client.send(set_up("c" * 16, "paid", "25000"))
+        await env.settle()
+        assert "c" * 16 in relay_connection.set_ups
+        env.relay.nodes.max_connections = usual
+        client.release(given_up)
+        await env.settle()
+        left_s = RELEASE_LIMIT_S - 2.5
+        assert await release_delay(env, client, first, second, left_s) <= left_s
+
+
 async def until_close_begins(env, busy):
     """Advance until the relay closes one of its two connections to its node; other traffic goes on."""
     (node,) = env.relay.nodes.nodes.values()
