--- a/curlewhall/wire/http.py
+++ b/curlewhall/wire/http.py
@@ -13,6 +13,8 @@
 from curlewhall.errors import CurlewhallError
 
 REASONS = {status.value: status.phrase for status in HTTPStatus}
+FIELD_OVERHEAD_BYTES = 256  # of memory per header field, besides its text: two strings and two table entries
+BODY_BLOCK_BYTES = 4096
 
 
 class Limits(NamedTuple):
@@ -20,10 +22,12 @@
 
     line: int = 4096  # the request target
     head: int = 16384  # the start line and all header fields
+    fields: int = 100  # header fields of a message
     body: int = 1 << 20
     connections: int = 10_000
     pipeline: int = 16  # unanswered requests of a connection
     queued: int = 1 << 20  # bytes queued for a slow reader; beyond it the connection is closed
+    memory: int = 16 << 20  # bytes of requests and queued responses, of all connections of a server together
     read: float = 10.0  # from a message's first byte to its last
     idle: float = 30.0  # between messages
     write: float = 10.0  # for one piece of a response
@@ -43,10 +47,34 @@
         self.why = why
 
 
+class BodyBuffer:
+    """A body that arrives in pieces of any size. It is kept in blocks: one buffer that grows is copied again
+    and again, and takes several times its size while hundreds grow side by side.
+    """
+
+    __slots__ = ("blocks", "size")
+
+    def __init__(self) -> None:
+        self.blocks: list[bytearray] = []
+        self.size = 0  # bytes
+
+    def append(self, piece: bytes) -> None:
+        """Add a piece."""
+        self.size += len(piece)
+        if self.blocks and len(self.blocks[-1]) + len(piece) <= BODY_BLOCK_BYTES:
+            self.blocks[-1] += piece
+        else:
+            self.blocks.append(bytearray(piece))
+
+    def joined(self) -> bytes:
+        """The whole body."""
+        return b"".join(self.blocks)
+
+
 class Message:
     """A request (`method`, `target`) or a response (`status`). Header names are in lower case."""
 
-    __slots__ = ("method", "target", "status", "headers", "body", "keep_alive", "complete")
+    __slots__ = ("method", "target", "status", "headers", "body", "keep_alive", "complete", "memory_bytes")
 
     def __init__(self) -> None:
         self.method = self.target = ""
@@ -55,6 +83,13 @@
         self.body = b""
         self.keep_alive = True
         self.complete = False
+        self.memory_bytes = 0  # about what a complete message takes
+
+    def release(self) -> None:
+        """Free the header fields and the body; the start line stays."""
+        self.headers = {}
+        self.body = b""
+        self.memory_bytes = len(self.target)
 
 
 class MessageParser:
@@ -70,7 +105,8 @@
         self.current = None  # the message that is being parsed
         self.head_size = 0  # bytes fed since the current head began
         self.field_size = 0  # bytes of its header fields
-        self.pieces = []
+        self.field_count = 0
+        self.body = BodyBuffer()
         self.names = None  # names of the header fields so far; None outside a head
         self.parser = self.make_parser()
 
@@ -78,6 +114,25 @@
         """The httptools parser, which calls the `on_` methods of this object."""
         raise NotImplementedError
 
+    @property
+    def memory_bytes(self) -> int:
+        """About what the messages here take in memory, the one that is being parsed included."""
+        complete = sum(message.memory_bytes for message in self.messages)
+        return complete if self.current is None else complete + self.current_memory_bytes()
+
+    def current_memory_bytes(self) -> int:
+        """About what the message that is being parsed takes."""
+        head = max(self.head_size, self.field_size) if self.names is not None else self.field_size
+        return head + self.field_count * FIELD_OVERHEAD_BYTES + self.body.size + len(self.current.target)
+
+    def close(self) -> None:
+        """Free everything. The parser and its callbacks refer to each other, and would wait for a collection
+        of garbage with the body that they keep.
+        """
+        self.current = self.parser = None
+        self.messages.clear()
+        self.body = BodyBuffer()
+
     def feed(self, data) -> None:
         """Parse bytes; `HttpMessageError` if they can't continue a valid message."""
         before, complete = self.current, len(self.messages)
@@ -108,14 +163,18 @@
         self.current = Message()
         self.head_size = 0
         self.field_size = 0
-        self.pieces = []
+        self.field_count = 0
+        self.body = BodyBuffer()
         self.names = set()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         key = name.decode("latin-1").lower()
         self.field_size += len(name) + len(value) + 4
+        self.field_count += 1
         if self.field_size > self.limits.head:
             raise HttpMessageError(431, "the head is too long")
+        if self.field_count > self.limits.fields:
+            raise HttpMessageError(431, "the head has too many fields")
         if b"\r" in value or b"\0" in value or b"\n" in value:
             raise HttpMessageError(400, "a bare CR, LF or NUL in a field")
         if key in self.names and key in ("content-length", "transfer-encoding", "host"):
@@ -143,16 +202,18 @@
         """Further checks of a complete head, made by subclasses."""
 
     def on_body(self, data: bytes) -> None:
-        self.pieces.append(data)
-        if sum(map(len, self.pieces)) > self.limits.body:
+        self.body.append(data)
+        if self.body.size > self.limits.body:
             raise HttpMessageError(413, "the body is too long")
 
     def on_message_complete(self) -> None:
-        message, self.current = self.current, None
-        message.body = b"".join(self.pieces)
+        message = self.current
+        message.memory_bytes = self.current_memory_bytes()
+        message.body = self.body.joined()
         message.complete = True
         message.keep_alive = self.parser.should_keep_alive()
-        self.pieces = []
+        self.current = None
+        self.body = BodyBuffer()
         self.messages.append(message)
 
 
