Relay: four messages of a connection in a turn; a full queue ends it once

Seen: one client that takes its set-ups back at once, at full speed, kept usual viewers waiting for 1.06 s (5 answers in 3 s); 300 that send health checks and never read: 26 -> 117 MiB, an answer after 6.57 s.

Cause: Viewers.handle_received handled all that one read of 16 KiB held (1,400 of the shortest messages) before the next connection's turn. Transport.send put one more `end` into the loop for each message beyond a full queue.

Change: 1 KiB a read and four messages a turn for viewers; nothing is read while messages wait. The queue's overflow is told once, later bytes are dropped.

Figures from stand-ins on loopback.

--- a/curlewhall/relay/viewers.py
+++ b/curlewhall/relay/viewers.py
@@ -27,6 +27,8 @@
 IDLE_TIMEOUT_S = 6.0  # for a connection without any session; viewers themselves close after 4
 RELEASE_WAIT_S = 0.4  # that a release waits for a connection that was served; 1 s is allowed
 RELEASE_EXPIRY_S = 8.0  # then an undelivered release is dropped: it is of no use any more
+READ_BYTES = 1024  # of a connection in one turn of the event loop: a usual set-up has some hundred bytes
+MESSAGES_PER_TURN = 4  # of a connection that are handled in one turn of the event loop
 MAX_READ_AHEAD = 64  # messages read before earlier ones are handled: bounds memory under a flood
 SLOW_READER_TIMEOUT_S = 8.0  # a client that takes no bytes for so long is closed with answers unsent
 NEW_CONNECTION_S = 0.25  # in which a new client's first bytes arrive, many times the way
@@ -107,6 +109,7 @@
         "reader",
         "received",
         "handling",
+        "rest_scheduled",
         "opened_at",
         "last_active",
         "partial_since",
@@ -121,6 +124,7 @@
         self.reader = messages.Reader()
         self.received: deque[messages.Message] = deque()  # read, but not handled yet
         self.handling = False  # `handle_received` runs for it
+        self.rest_scheduled = False  # `handle_rest` will run for it
         self.opened_at = self.last_active = now
         self.partial_since = 0.0  # since when an incomplete message waits for its rest; 0: there is none
         self.open_set_ups: dict[str, Session] = {}  # owed an answer
@@ -198,7 +202,7 @@
             sock.setblocking(False)
             connection = Connection(time.monotonic())
             try:
-                connection.transport = Transport(self.loop, sock, self)
+                connection.transport = Transport(self.loop, sock, self, read_bytes=READ_BYTES)
             except OSError:
                 sock.close()
                 continue
@@ -323,23 +327,39 @@
         self.handle_received(connection)
 
     def handle_received(self, connection: Connection) -> None:
-        """Handle the messages that were received, in order. Those read meanwhile wait for the next turn of
-        the loop, so that other connections have theirs.
+        """Handle some of the messages that were received, in order. The others wait for the next turn of the
+        loop, so that other connections have theirs, and nothing more is read until then. On a connection that
+        is to be closed none waits: what still counts there are releases.
         """
         if connection.handling:
             return
         connection.handling = True
+        count = len(connection.received)
         try:
-            for _ in range(len(connection.received)):
+            for _ in range(count if connection.closing else min(MESSAGES_PER_TURN, count)):
                 if connection.received:
                     self.handle_message(connection, connection.received.popleft())
         finally:
             connection.handling = False
         if connection.received:
-            self.loop.call_soon(self.handle_received, connection)
-        elif connection.reader.error and not connection.closing:
+            self.handle_rest_later(connection)
+            return
+        connection.transport.resume_reading()
+        if connection.reader.error and not connection.closing:
             self.begin_close(connection)
 
+    def handle_rest_later(self, connection: Connection) -> None:
+        """Handle the messages that wait on a connection in the next turn of the loop."""
+        connection.transport.pause_reading()
+        if not connection.rest_scheduled:
+            connection.rest_scheduled = True
+            self.loop.call_soon(self.handle_rest, connection)
+
+    def handle_rest(self, connection: Connection) -> None:
+        """The next turn of `handle_rest_later`."""
+        connection.rest_scheduled = False
+        self.handle_received(connection)
+
     def viewer_gone(self, session: Session) -> bool:
         """Whether a session's viewer has ended its connection, or released the session there.
 
@@ -355,7 +375,7 @@
             transport.readable()
         connection.handling = handling
         if connection.received and not handling:
-            self.loop.call_soon(self.handle_received, connection)
+            self.handle_rest_later(connection)
         return transport.closed or any(
             m.kind == messages.RELEASE and m.session == session.id for m in connection.received
         )
--- a/curlewhall/wire/transport.py
+++ b/curlewhall/wire/transport.py
@@ -47,13 +47,35 @@
 class Transport:
     """A socket with its owner. It ends as refused, unreached, closed, reset, full, or as its owner says."""
 
-    __slots__ = ("loop", "sock", "owner", "queue", "open", "closed", "was_connected", "last_progress")
-
-    def __init__(self, loop, sock: socket.socket, owner, connecting: bool = False) -> None:
-        """`connecting`: the connection is not established yet (`connect`)."""
+    __slots__ = (
+        "loop",
+        "sock",
+        "owner",
+        "read_bytes",
+        "paused",
+        "queue",
+        "open",
+        "closed",
+        "was_connected",
+        "last_progress",
+    )
+
+    def __init__(
+        self,
+        loop,
+        sock: socket.socket,
+        owner,
+        connecting: bool = False,
+        read_bytes: int = 0,
+    ) -> None:
+        """`connecting`: the connection is not established yet (`connect`). `read_bytes`: the most that one
+        read takes, and so what the other side can have handled in one turn of the loop; 0: what fits.
+        """
         self.loop = loop
         self.sock = sock
         self.owner = owner
+        self.read_bytes = read_bytes
+        self.paused = False  # the event loop doesn't read
         self.queue = bytearray()
         self.open = self.was_connected = not connecting
         self.closed = False
@@ -75,12 +97,24 @@
         self.loop.add_reader(self.sock.fileno(), self.readable)
         self.owner.connection_made(self)
 
+    def pause_reading(self) -> None:
+        """Have the event loop read nothing more for now; the owner still may, with `readable`."""
+        if not self.paused and not self.closed:
+            self.paused = True
+            self.loop.remove_reader(self.sock.fileno())
+
+    def resume_reading(self) -> None:
+        """Have the event loop read again."""
+        if self.paused and not self.closed:
+            self.paused = False
+            self.loop.add_reader(self.sock.fileno(), self.readable)
+
     def readable(self) -> None:
         """Read once and pass the bytes to the owner. Called by the event loop, or by the owner."""
         if self.closed:
             return
         try:
-            count = self.sock.recv_into(BUFFER)
+            count = self.sock.recv_into(BUFFER, self.read_bytes)
         except (BlockingIOError, InterruptedError):
             return
         except OSError:
@@ -107,9 +141,10 @@
         if self.closed or not self.open:
             return False
         if self.queue:
-            self.queue += data
-            if len(self.queue) > MAX_QUEUED_BYTES:
-                self.loop.call_soon(self.end, "full")
+            if len(self.queue) <= MAX_QUEUED_BYTES:
+                self.queue += data
+                if len(self.queue) > MAX_QUEUED_BYTES:
+                    self.loop.call_soon(self.end, "full")  # once: what is sent until then is dropped
             return True
         try:
             count = self.sock.send(data)
