Relay: an id that may have run does not run again when it comes back

Seen by operators: an id ran twice when it came again after its client had left. Probed in the relay before any change: the same id after close, half-close, reset or release of the first, paid or not, or after its session was over: it ran again, 9 of 9.

Cause: Viewers forgot a session with its end, and handle_set_up took its id for new.

--- a/curlewhall/relay/node_state.py
+++ b/curlewhall/relay/node_state.py
@@ -4,7 +4,7 @@
 from typing import TYPE_CHECKING
 
 from curlewhall.codecs import rtsp
-from curlewhall.front.driver import ActivePlay
+from curlewhall.front.driver import OUTCOMES_WITHOUT_EFFECT, ActivePlay
 from curlewhall.interface import NodeRow
 
 if TYPE_CHECKING:
@@ -78,6 +78,8 @@
             return
         sent, self.state = self.state == SENT, SETTLED
         self.timer.cancel()
+        if how not in OUTCOMES_WITHOUT_EFFECT:
+            self.nodes.driver.viewers.recent_sessions.add(self.play)
         if how == "late":
             self.nodes.silence_timeouts.suspect_zone(self.node.row.zone, time.monotonic())
         if self.connection is not None:
--- a/curlewhall/relay/viewers.py
+++ b/curlewhall/relay/viewers.py
@@ -20,6 +20,7 @@
 
 from . import decide
 from .null_objects import Log
+from .recent_sessions import RecentSessions
 
 # 3 s are allowed from the opening of a connection, and a check may come late on a busy core
 MESSAGE_TIMEOUT_S = 2.0  # until a connection's first valid message, or the rest of one that has begun
@@ -160,6 +161,7 @@
         self.rungs = len(start_settings["specifics.rung_kb"])
         self.connections: dict[Transport, Connection] = {}
         self.sessions: dict[str, Session] = {}
+        self.recent_sessions = RecentSessions()  # set-ups that may have run, see `SetUp.settle`
         self.open_set_ups = 0  # sessions that are owed an answer
         # releases without a connection: session -> when it ended, and the message
         self.undelivered: OrderedDict[str, tuple[float, bytes]] = OrderedDict()
@@ -448,6 +450,14 @@
                 self.begin_close(connection)
             return
         connection.sound, connection.last_active = True, time.monotonic()
+        if name in self.recent_sessions:
+            # Its client has left, or its session is over. It is failed, which promises nothing: a refusal
+            # would say that it has not run.
+            self.log.warning("set-up comes again under an id that may have run", session=name)
+            connection.transport.send(
+                messages.encode(messages.RELEASE, name, cause=bytes((TEMPORARY_FAILURE,)))
+            )
+            return
         if self.refusing:
             # Clients that never stop sending would keep the connection open until the process is killed, and
             # what is unanswered then is lost. A refusal does no harm: they ask another front.
--- a/tests/overload/test_front_overload.py
+++ b/tests/overload/test_front_overload.py
@@ -42,3 +42,11 @@
         figures = await beside(rig, kind, 3.0, 1)
     assert figures.answers and figures.slowest_s <= TIME_LIMIT_S, figures
     assert figures.growth_mib <= Limits().memory / MIB, figures
+
+
+@looped
+async def test_requests_left_unread_at_a_close_reach_no_node(tmp_path):
+    """Picture (c): a client closed its connection with much unread, and its requests were sent on."""
+    async with running(FrontRig(tmp_path)) as rig:
+        await beside(rig, "http_close_unread", 3.0, 20)
+        assert set(rig.setups()) == {"usual"}
