Relay: a node whose address another one takes is gone

Cause: Nodes (relay/nodes.py) knows a process by its node's address, and nothing compared the addresses of two nodes. A gone node was connected to anew within REMOVAL_DELAY_S as well.

Change: a row that puts a node in service at an address makes any other node there gone, for the connections and for the module (update_list returns such rows). Nothing is opened for a gone node; connections that are coming up are ended. A drain of a gone node, told late, is ignored: the address stays the other's.

Ruled out: the RTSP answers themselves, which do not name their node; nothing on the sockets tells two processes at one address apart before the list does.

--- a/curlewhall/relay/channel.py
+++ b/curlewhall/relay/channel.py
@@ -165,8 +165,9 @@
         if invalid:
             self.log.warning("node list has invalid members; they are ignored", lines=invalid)
         whole = bool(nodes.get("complete")) and not invalid
-        self.driver.nodes.update_list(rows, whole)  # first: the module may allocate at once
-        self.driver.update_nodes(how if whole else "changes", [row for row, _ in rows])
+        # first: the module may allocate at once
+        displaced = self.driver.nodes.update_list(rows, whole)
+        self.driver.update_nodes(how if whole else "changes", [row for row, _ in rows] + displaced)
 
     def switch_to(self, address: tuple[str, int]) -> None:
         """Follow the channel at another address; event numbers go on. The old one is followed until the delay
--- a/curlewhall/relay/nodes.py
+++ b/curlewhall/relay/nodes.py
@@ -82,10 +82,12 @@
 
     # ---- the list
 
-    def update_list(self, rows: list[tuple[NodeRow, tuple[str, int]]], whole: bool) -> None:
+    def update_list(self, rows: list[tuple[NodeRow, tuple[str, int]]], whole: bool) -> list[NodeRow]:
         """Follow the node list, before the module is told of it. `whole`: nodes that it doesn't name are
-        gone.
+        gone. Returns rows of further nodes that are gone by what it names.
         """
+        displaced = self.displaced_nodes(rows)
+        rows = rows + [(node.row._replace(state="gone"), node.address) for node in displaced]
         named = set()
         for row, address in rows:
             named.add(row.node)
@@ -94,6 +96,8 @@
                 if row.state != "gone":
                     self.nodes[row.node] = Node(row, address)
                 continue
+            if row.state == "draining" and node.row.state == "gone":
+                continue  # told late: another node may have its address
             old, node.row = node.row, row
             if row.started > old.started:
                 # Sessions of the process before are over, and no release comes for them.
@@ -105,10 +109,38 @@
                 node.address = address
                 self.reset_connections(node)
             if row.state == "gone" != old.state:
-                self.timers.after(REMOVAL_DELAY_S, self.remove_node, node)
+                self.node_gone(node)
         for node in [n for n in self.nodes.values() if whole and n.id not in named and n.row.state != "gone"]:
             node.row = node.row._replace(state="gone")
-            self.timers.after(REMOVAL_DELAY_S, self.remove_node, node)
+            self.node_gone(node)
+        return [node.row for node in displaced]
+
+    def displaced_nodes(self, rows: list[tuple[NodeRow, tuple[str, int]]]) -> list[Node]:
+        """Nodes whose address another one takes: the process there is another one now, whether or not the
+        list has told yet that they are gone.
+        """
+        named = {row.node for row, _ in rows}
+        takers = {address for row, address in rows if self.takes_address(row, address)}
+        return [
+            node
+            for node in self.nodes.values()
+            if node.row.state != "gone" and node.id not in named and node.address in takers
+        ]
+
+    def takes_address(self, row: NodeRow, address: tuple[str, int]) -> bool:
+        """Whether a row names a node in service at an address at which it was not before."""
+        node = self.nodes.get(row.node)
+        return row.state == "serving" and (
+            node is None or node.row.state == "gone" or node.address != address
+        )
+
+    def node_gone(self, node: Node) -> None:
+        """The list calls a node gone. What it has sent is still read; a connection that is coming up may lead
+        to another process, which has taken its address.
+        """
+        for connection in [c for c in node.connections if not c.transport.was_connected]:
+            connection.transport.end("gone")
+        self.timers.after(REMOVAL_DELAY_S, self.remove_node, node)
 
     def remove_node(self, node: Node) -> None:
         """Remove a node that is still gone after the time for its last messages."""
@@ -143,10 +175,10 @@
     # ---- connections
 
     def open(self, node: Node, make_room: bool = True) -> Connection | None:
-        """Begin to connect; None if the node is not listed any more, or no further connection may be had.
-        `make_room`: an idle connection may be closed for it.
+        """Begin to connect; None if the node is gone, or no further connection may be had. `make_room`: an
+        idle connection may be closed for it.
         """
-        if not self.is_listed(node):
+        if not self.is_listed(node) or node.row.state == "gone":
             return None
         if len(self.connections) >= self.max_connections and not (make_room and self.free_connection()):
             return None
