Front: a set-up for a node that has gone does not run at its successor

In the tests' loop paid plays were failed (502) and the dead node's plays stood for as long as the other kept the address; a node whose address the list gave to another stayed in service; an answer under another name was a sign of life for sites/.

Cause: front/nodes.py sent a set-up to whoever had the address, and found the other name in the answer, after it had run; handle_hello only logged another name; ListFollower compared no addresses; sites' evidence of "error" is "answered".

Change: SetUp.node (a field that older nodes ignore), 421 from any other node, which ends the allocation as unreached; another name in a hello ends the plays that ran there; displaced_rows; evidence "refused" from another's answer. The parsing of a set-up's answer is a function with a typed result.

Ruled out: resolving uncertain paid set-ups by another's hello: an old list may have the node elsewhere, so they stay uncertain.

--- a/curlewhall/front/list_follower.py
+++ b/curlewhall/front/list_follower.py
@@ -343,6 +343,7 @@
     def apply_listing(self, listing: forms.Listing, how: str) -> None:
         """Apply a listing: `whole` and `old_copy` replace the list, `changes` updates it."""
         rows = self.valid_rows(listing.rows)
+        rows += self.displaced_rows(rows)
         if how != "changes":
             self.rows, self.titles = {}, {}
         self.rows |= {row.node: row for row in rows}
@@ -382,6 +383,25 @@
                 valid.append(row)
         return valid
 
+    def displaced_rows(self, rows: list[forms.Row]) -> list[forms.Row]:
+        """Rows of known nodes whose address a node in `rows` takes, as gone: the process there is another one
+        now, whether or not the list has told yet that they are gone.
+        """
+        named = {row.node for row in rows}
+        takers = {(row.address, row.port) for row in rows if self.takes_address(row)}
+        return [
+            forms.msgspec.structs.replace(row, state="gone")
+            for row in self.rows.values()
+            if row.node not in named and (row.address, row.port) in takers
+        ]
+
+    def takes_address(self, row: forms.Row) -> bool:
+        """Whether a row names a node in service at an address at which it was not before."""
+        known = self.rows.get(row.node)
+        return row.state == "serving" and (
+            known is None or (known.address, known.port) != (row.address, row.port)
+        )
+
     def is_invalid(self, name: str, item: forms.Row | forms.Title) -> bool:
         """Whether a row or title has a value out of range, which would break calls about other plays."""
         why = forms.find_fault(item)
--- a/curlewhall/front/nodes.py
+++ b/curlewhall/front/nodes.py
@@ -7,6 +7,7 @@
 
 import time
 from collections.abc import Callable
+from typing import NamedTuple
 
 from curlewhall.errors import describe
 from curlewhall.interface import NodeRow
@@ -21,6 +22,7 @@
 ONE_WAY_TIMEOUT_S = 1.0  # for requests whose response nothing waits for
 GONE_NODE_RETENTION_TICKS = 600 * 10_000  # gone nodes are removed after this time, as in the module
 MAX_EARLY_EVENTS = 16  # events kept per play until the response to its set-up has been read
+MISDIRECTED = 421  # RFC 9110 section 15.5.20: the process at this address is not the node that was meant
 NOTE_KINDS = ("delivered", "link_asked", "uplink_asked")
 
 
@@ -135,7 +137,7 @@
         )
         if node.retry_timer is not None:
             self.open_stream(node)  # the play's events are needed from now on
-        body = forms.encode(forms.SetUp(self.front, info, span * 1000))
+        body = forms.encode(forms.SetUp(self.front, info, span * 1000, name))
         data = request_bytes("POST", "/v1/plays", node.pool.host, body, content_type="application/json")
         # Connecting may take long. If the node drains or restarts meanwhile, or the viewer hangs up, the
         # set-up must not be sent. A viewer that has not asked for the result of a move yet has no exchange.
@@ -158,25 +160,14 @@
 
     def set_up_done(self, active_play: ActivePlay, number: int, name: str, reply: Reply) -> None:
         """Report the outcome of a set-up request to the driver."""
-        how, report = reply.outcome, {}
-        if how == "unreached":
+        if reply.outcome == "unreached":
             self.driver.sites.node_contact(name, contact_failure(reply))
-        if how == "ok":
-            try:
-                done = forms.decode(forms.SetUpDone, reply.message.body)
-                matches = done.node == name and (done.play, done.number) == (
-                    active_play.info.play,
-                    number + active_play.number_offset,
-                )
-                if reply.message.status == 201 and matches:
-                    report = done.report
-                elif reply.message.status == 503 and done.node == name and done.why in ("full", "draining"):
-                    how, report = "full", done.report
-                else:
-                    how = "error"
-            except forms.DecodeError:
-                how = "error"
-        self.driver.allocation_ended(active_play, number, name, how, reply.elapsed_s, report)
+        play = active_play.info.play
+        result = parse_set_up_result(name, play, number + active_play.number_offset, reply)
+        self.driver.allocation_ended(active_play, number, name, result.how, reply.elapsed_s, result.report)
+        if result.from_another:
+            # last: an allocation that ended with an error counts as an answer of the node itself
+            self.driver.sites.node_contact(name, "refused")
 
     def set_rung(self, name: str, play: str, number: int, rung: int) -> None:
         """Change the rung of a play at its node, without waiting for the response."""
@@ -311,6 +302,10 @@
     def node_lost(self, name: str) -> None:
         """End all plays at a node that is gone."""
         self.driver.play_store.node_connected(name, ())
+        self.end_plays(name)
+
+    def end_plays(self, name: str) -> None:
+        """End the plays that run at a node, as far as this front knows."""
         for play in [
             p
             for p, active_play in self.driver.plays.items()
@@ -354,6 +349,10 @@
             self.driver.log.warning(
                 "another process answers at a node's address", node=name, found=event.node
             )
+            self.driver.sites.node_contact(name, "refused")
+            # The process that had the address before is gone. Set-ups that only the disk knows of may run
+            # where an old list doesn't say, so nothing is said about them.
+            self.end_plays(name)
             return
         reported = {info.play: info for info in event.plays}
         self.driver.sites.node_contact(
@@ -422,6 +421,33 @@
             node.pool.close()
 
 
+class SetUpResult(NamedTuple):
+    """How a set-up request ended, as the driver is told."""
+
+    how: str  # one of `curlewhall.interface.Ending`
+    report: dict[str, float] = {}
+    from_another: bool = False  # another process than the node has answered at its address
+
+
+def parse_set_up_result(name: str, play: str, number: int, reply: Reply) -> SetUpResult:
+    """The result of the request to node `name` to set up an allocation of `play`, `number` by its count."""
+    if reply.outcome != "ok":
+        return SetUpResult(reply.outcome)
+    try:
+        done = forms.decode(forms.SetUpDone, reply.message.body)
+    except forms.DecodeError:
+        return SetUpResult("error")
+    status = reply.message.status
+    if done.node != name:
+        # Told that another node was meant, it has run nothing; else it may have.
+        return SetUpResult("unreached" if status == MISDIRECTED else "error", from_another=True)
+    if status == 201 and (done.play, done.number) == (play, number):
+        return SetUpResult("ok", done.report)
+    if status == 503 and done.why in ("full", "draining"):
+        return SetUpResult("full", done.report)
+    return SetUpResult("error")
+
+
 def contact_failure(reply: Reply) -> str:
     """Classify a failed exchange as evidence about its node: `refused`, `silent` or `reset`."""
     if reply.outcome == "unreached":
--- a/curlewhall/standins/node.py
+++ b/curlewhall/standins/node.py
@@ -179,6 +179,10 @@
             return
         info = request.facts
         identity = {"play": info.play, "number": info.number, "front": request.front}
+        if request.node not in ("", self.name):
+            self.records.write(self.at, "misdirected", meant=request.node, **identity)
+            exchange.reply(421, {}, forms.encode(forms.SetUpDone(self.name, info.play, info.number)))
+            return
         draining = self.spec.get("draining", False)
         if draining or len(self.plays) >= self.spec["streams"]:
             why = "draining" if draining else "full"
--- a/curlewhall/wire/forms.py
+++ b/curlewhall/wire/forms.py
@@ -35,15 +35,19 @@
 
 
 class SetUp(msgspec.Struct, frozen=True):
-    """POST /v1/plays: set up a play, within `span_ms`."""
+    """POST /v1/plays: set up a play, within `span_ms`. `node`: the node that is meant; another process, which
+    has its address by now, must not run it ("" from fronts that don't say).
+    """
 
     front: str
     facts: PlayInfo
     span_ms: float
+    node: str = ""
 
 
 class SetUpDone(msgspec.Struct, frozen=True):
-    """The answer to `SetUp`. 201: the play is set up. 503: it was refused and nothing ran.
+    """The answer to `SetUp`. 201: the play is set up. 421: another node was meant, 503: it was refused; in
+    both cases nothing ran.
 
     `node` is the name of the node that answers, so that the answer of another program can be recognised.
     """
