--- a/curlewhall/relay/node_state.py
+++ b/curlewhall/relay/node_state.py
@@ -1,7 +1,7 @@
 """A node as a relay keeps it: its connections, the set-ups on their way to it, and the sessions there."""
 
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from curlewhall.codecs import rtsp
 from curlewhall.front.driver import OUTCOMES_WITHOUT_EFFECT, ActivePlay
@@ -15,12 +15,14 @@
 # states of a `SetUp`
 WAITING = "waiting"
 SENT = "sent"
+ENDING = "ending"
 SETTLED = "settled"
 
 
 class SetUp:
     """A set-up on its way to a node. Its states: `WAITING` for a connection, or for the end of an earlier one
-    of the same play there; `SENT`; `SETTLED`, once, with one of the endings of `curlewhall.interface`.
+    of the same play there; `SENT`; `ENDING`, if its connection has ended and its node has yet to be told that
+    it is over; `SETTLED`, once, with one of the endings of `curlewhall.interface`.
     """
 
     __slots__ = (
@@ -31,11 +33,13 @@
         "connection",
         "state",
         "started_at",
+        "sent_at",
         "time_limit_s",
         "timer",
         "node_identity",
         "retries",
         "waited",
+        "lost_how",
     )
 
     def __init__(
@@ -47,11 +51,13 @@
         self.number = number
         self.time_limit_s = time_limit_s
         self.started_at = time.monotonic()
+        self.sent_at = 0.0
         self.connection: Connection | None = None
         self.state = WAITING
         self.retries = 0
         self.node_identity = node.identity
         self.waited = False  # it could not be sent at once
+        self.lost_how = ""  # while `ENDING`: how it is settled
         self.timer = nodes.timers.after(time_limit_s, self.stop, "late")
 
     @property
@@ -67,10 +73,9 @@
         """End it: as `how` if it was sent, else as "not_sent"."""
         if self.state == SETTLED:
             return
-        sent = self.state == SENT
-        if sent:
+        if self.state == SENT:
             self.nodes.abandon_set_up(self)
-        self.settle(how if sent else "not_sent", {})
+        self.settle(how if self.state != WAITING else "not_sent", {})
 
     def settle(self, how: str, report: dict) -> None:
         """Tell the driver how it ended. Further calls do nothing."""
@@ -182,6 +187,13 @@
             self.retiring = self.retiring or len(self.failed_plays) > MAX_FAILED_SETUPS
 
 
+class QueuedMessage(NamedTuple):
+    """A request that waits for a connection; `ends`: the play that it ends, if it is a TEARDOWN."""
+
+    data: bytes
+    ends: str = ""
+
+
 class UnconfirmedSession:
     """A session of before this process that a viewer has named and its node has not reported yet."""
 
@@ -204,7 +216,8 @@
         self.sessions: dict[str, int] = {}  # session -> when it began, on the module's clock
         self.unconfirmed: dict[str, UnconfirmedSession] = {}  # by session
         self.moved_sessions: dict[str, object] = {}  # session -> the timer that ends it, see `move_timed_out`
-        self.queued_messages: list[bytes] = []  # for the next connection
+        self.queued_messages: list[QueuedMessage] = []  # for the next connection
+        self.ending_set_ups: list[SetUp] = []  # settled once their TEARDOWNs are written, or can't be
         # session -> how many TEARDOWNs are not acknowledged, and when the last was sent
         self.pending_teardowns: dict[str, tuple[int, float]] = {}
         self.waiting_set_ups: dict[str, SetUp] = {}  # session -> a set-up that waits for these TEARDOWNs
--- a/curlewhall/relay/nodes.py
+++ b/curlewhall/relay/nodes.py
@@ -19,7 +19,7 @@
 from curlewhall.wire.transport import Transport, connect
 
 from .decide import AdoptionLimits, NodeConnectDelays, SilenceTimeouts
-from .node_state import SENT, WAITING, Connection, Node, SetUp, UnconfirmedSession
+from .node_state import ENDING, SENT, WAITING, Connection, Node, QueuedMessage, SetUp, UnconfirmedSession
 from .null_objects import Log
 
 if TYPE_CHECKING:
@@ -239,8 +239,7 @@
             node.release_lost_at = None
         for session in node.unconfirmed.values():
             session.awaited_since = session.awaited_since or now
-        while node.queued_messages and transport.send(node.queued_messages[0]):
-            node.queued_messages.pop(0)
+        self.send_queued(node, transport)
         for session in connection.probes:
             transport.send(probe_request(session))
         for set_up in list(connection.set_ups.values()):
@@ -273,10 +272,7 @@
             connection.set_ups.pop(set_up.play, None)
             set_up.connection = None
             if set_up.state == SENT:
-                if why == "spoilt" or partial:
-                    # Its answer was on the way, so the session may run there, and nothing else would end it.
-                    self.tear_down(node, set_up.play)
-                set_up.settle("error" if why == "spoilt" else "broken", {})
+                self.end_lost_set_up(set_up, "error" if why == "spoilt" else "broken")
             elif transport.was_connected and not set_up.retries:
                 set_up.retries += 1  # nothing was written: another connection may be sound
                 self.start_set_up(set_up)
@@ -284,8 +280,38 @@
                 set_up.settle("unreached", {})
         for play in [play for play, abandoned in connection.failed_plays.items() if abandoned]:
             self.teardown_acknowledged(node, play)  # the node hears of the end, at the latest, with this
+        if not transport.was_connected:
+            self.settle_lost_set_ups(node)
         self.ensure_connection(node)
 
+    def end_lost_set_up(self, set_up: SetUp, how: str) -> None:
+        """End a set-up that was sent on a connection that has ended; it is settled as `how`.
+
+        Its answer may be lost with the connection, so the session may stand at the node, and nothing else
+        would end it. The play may be placed elsewhere once the TEARDOWN is written on another connection, or
+        none comes up: then the process is gone, or its machine.
+        """
+        node = set_up.node
+        set_up.state, set_up.lost_how = ENDING, how
+        node.ending_set_ups.append(set_up)
+        sent = self.tear_down(node, set_up.play)
+        if sent or all(connection.transport.was_connected for connection in node.connections):
+            self.settle_lost_set_ups(node)
+
+    def settle_lost_set_ups(self, node: Node) -> None:
+        """Settle the set-ups that waited for their TEARDOWNs to be written."""
+        waiting, node.ending_set_ups = node.ending_set_ups, []
+        for set_up in waiting:
+            set_up.settle(set_up.lost_how, {})
+
+    def send_queued(self, node: Node, transport: Transport) -> None:
+        """Send what waited for a connection on one that has come up."""
+        while node.queued_messages and transport.send(node.queued_messages[0].data):
+            message = node.queued_messages.pop(0)
+            if message.ends:
+                self.note_teardown(node, message.ends, True)
+        self.settle_lost_set_ups(node)
+
     def note_lost_release(self, node: Node) -> None:
         """A connection has ended before what its node had written was read to its end."""
         if node.holds_sessions:
@@ -477,7 +503,7 @@
             X_Patience=str(max(1, int(left * 1000))),
             X_Rung=str(active_play.rung),
         )
-        connection.last_used = time.monotonic()
+        connection.last_used = set_up.sent_at = time.monotonic()
         if connection.transport.send(data):
             set_up.state = SENT
 
@@ -486,16 +512,23 @@
         tears the session down.
         """
         connection, play = set_up.connection, set_up.play
-        self.note_teardown(
-            set_up.node,
-            play,
-            connection.transport.send(rtsp.request("TEARDOWN", set_up.active_play.info.title, play, 2)),
-        )
+        data = rtsp.request("TEARDOWN", set_up.active_play.info.title, play, 2)
+        self.note_teardown(set_up.node, play, connection.transport.send(data))
+        if connection.last_received <= set_up.sent_at:
+            # Nothing has come since: the connection may be dead, and the session may stand at the node.
+            self.repeat_teardown(connection, data)
         connection.failed_plays[play] = True
         connection.answer_overdue(set_up, time.monotonic())
         if connection.last_received < set_up.started_at:
             connection.retiring = True
 
+    def repeat_teardown(self, silent: Connection, data: bytes) -> None:
+        """Send a TEARDOWN on another connection that is open, too; none is opened for it."""
+        for connection in silent.node.open_connections():
+            if connection is not silent:
+                connection.transport.send(data)
+                return
+
     def note_teardown(self, node: Node, play: str, sent: bool) -> None:
         """Count a TEARDOWN that was sent, until the node acknowledges it."""
         if sent:
@@ -510,10 +543,14 @@
         if known:
             self.tear_down(node, play, cause)
 
-    def tear_down(self, node: Node, play: str, cause: int = ENDED_BY_FRONT) -> None:
-        """Tell a node to end a session that runs there, or may run though no answer said so."""
+    def tear_down(self, node: Node, play: str, cause: int = ENDED_BY_FRONT) -> bool:
+        """Tell a node to end a session that runs there, or may run though no answer said so. Whether it was
+        sent; otherwise it waits for a connection, if it can.
+        """
         data = rtsp.request("TEARDOWN", play, play, 2, Reason=f"cause={cause}")
-        self.note_teardown(node, play, self.send_to(node, data))
+        sent = self.send_to(node, data, ends=play)
+        self.note_teardown(node, play, sent)
+        return sent
 
     def end(self, name: str, play: str, number: int, why: str) -> None:
         """End what may run of an allocation, as the driver asks. A set-up that was still open had its
@@ -541,15 +578,15 @@
         if node is not None and play in node.sessions:
             self.send_to(node, rtsp.request("SET_PARAMETER", play, play, 4, X_Rung=str(rung)))
 
-    def send_to(self, node: Node, data: bytes) -> bool:
+    def send_to(self, node: Node, data: bytes, ends: str = "") -> bool:
         """Send a request that needs no answer on any open connection; else queue it for the next one. Whether
-        it was sent.
+        it was sent. `ends`: the play that it ends, if it is a TEARDOWN.
         """
         for connection in node.open_connections():
             if connection.transport.send(data):
                 return True
         if node.row.state != "gone" and len(node.queued_messages) < MAX_QUEUED_MESSAGES:
-            node.queued_messages.append(data)
+            node.queued_messages.append(QueuedMessage(data, ends))
             if all(c.transport.open for c in node.connections):
                 self.open(node)
         return False
--- a/curlewhall/standins/platform.py
+++ b/curlewhall/standins/platform.py
@@ -56,6 +56,7 @@
     - short: the session ends with its answer.
     - silent: it does not answer.
     - break: it resets the connection.
+    - lost: the session stands, and its answer is lost as the connection is reset.
     - twice: it sends its answer twice.
     - ahead: it sends an answer for an unknown session first.
     - a name of `LENGTH_ERRORS`: its answer has a Content-Length that does not fit; the session runs.
@@ -181,6 +182,11 @@
             text = INVALID_ANSWERS[behaviour]
             writer.write(text % session.encode() if b"%s" in text else text)
             self.record("spoilt", session, behaviour)
+        elif behaviour == "lost":
+            self.pending.pop(session, None)
+            self.sessions[session] = writer
+            self.record("answered", session, description)
+            abort(writer)
         elif behaviour == "break":
             self.pending.pop(session, None)
             self.record("given up", session)
