--- a/curlewhall/relay/node_state.py
+++ b/curlewhall/relay/node_state.py
@@ -12,6 +12,7 @@
     from .viewers import PlayInfo
 
 MAX_FAILED_SETUPS = 256  # on a connection until it gets no more: far more than fail in its usual life
+NEVER = float("-inf")
 # states of a `SetUp`
 WAITING = "waiting"
 SENT = "sent"
@@ -197,12 +198,13 @@
 class UnconfirmedSession:
     """A session of before this process that a viewer has named and its node has not reported yet."""
 
-    __slots__ = ("info", "named_at", "awaited_since")
+    __slots__ = ("info", "named_at", "awaited_since", "report_lost")
 
     def __init__(self, info: "PlayInfo", named_at: int, awaited_since: float | None) -> None:
         self.info = info
         self.named_at = named_at  # on the module's clock
         self.awaited_since = awaited_since  # since when its node could report it; None: not connected yet
+        self.report_lost = False  # its report may be lost with a connection; nodes don't repeat reports
 
 
 class Node:
@@ -226,6 +228,8 @@
         self.failed_connects = 0  # in a row
         self.reconnect_timer = None
         self.last_received = self.last_connected = time.monotonic()
+        self.last_bytes_at = NEVER  # when it last sent anything; a connection that comes up is no sign of it
+        self.asked_at = NEVER  # when it was last asked for a sign of life, see `Nodes.ask_for_sign_of_life`
 
     @property
     def holds_sessions(self) -> bool:
--- a/curlewhall/relay/nodes.py
+++ b/curlewhall/relay/nodes.py
@@ -316,6 +316,8 @@
         """A connection has ended before what its node had written was read to its end."""
         if node.holds_sessions:
             node.release_lost_at = time.monotonic()
+        for session in node.unconfirmed.values():
+            session.report_lost = session.report_lost or session.awaited_since is not None
 
     def can_close(self, connection: Connection) -> bool:
         """Whether a connection is not needed, and nothing lies unread on it: what its node has just written,
@@ -407,7 +409,7 @@
                 p for p, (_, at) in node.pending_teardowns.items() if now - at > self.connect_timeout_s
             ]:
                 del node.pending_teardowns[play]  # nodes need not acknowledge a TEARDOWN
-            self.drop_unreported(node, now)
+            self.resolve_unreported(node, now)
             if node.holds_sessions and node.row.state != "gone":
                 if node.needs_connection():
                     self.ensure_connection(node)
@@ -600,8 +602,7 @@
                 self.driver.dispatch, "probed", name, "unreached" if node else "not_sent", 0, {}
             )
             return
-        self.probe_count += 1
-        session = f"{self.seed:08x}{self.probe_count & 0xFFFFFFFF:08x}"
+        session = self.new_probe_session()
         connection.probes[session] = time.monotonic()
         self.timers.after(PROBE_TIMEOUT_S, self.probe_timed_out, connection, session)
         if connection.transport.open:
@@ -631,7 +632,8 @@
     def data_received(self, transport: Transport, data: bytes) -> None:
         """Bytes came on a connection: handle the messages in them."""
         connection = self.connections[transport]
-        connection.node.last_received = now = time.monotonic()
+        node, now = connection.node, time.monotonic()
+        node.last_received = node.last_bytes_at = now
         connection.bytes_received(now)
         found = connection.reader.feed(data)
         connection.received += found
@@ -700,6 +702,8 @@
         node, play = connection.node, message.session
         if message.method and play in node.unconfirmed:
             self.confirm(node, play)
+        elif message.method:
+            self.driver.viewers.reported(play)
         if message.method == "TEARDOWN":
             connection.transport.send(rtsp.response(200, "OK", message))
             set_up, cause = connection.set_ups.get(play), message.cause()
@@ -807,15 +811,36 @@
         node.sessions[play] = session.named_at
         self.driver.resume_play(session.info, session.info, node.id)
 
-    def drop_unreported(self, node: Node, now: float) -> None:
-        """End the sessions that a node could have reported for long, and has not."""
+    def resolve_unreported(self, node: Node, now: float) -> None:
+        """Decide on the sessions that a node could have reported for long, and has not."""
         longest_s = self.adoption_limits.confirmation_timeout_s
         for play, session in list(node.unconfirmed.items()):
-            if session.awaited_since is not None and now - session.awaited_since > longest_s:
+            if session.awaited_since is None or now - session.awaited_since <= longest_s:
+                continue
+            if session.report_lost:
+                # Nothing shows that it doesn't run, and its viewer says that it does.
+                self.confirm(node, play)
+                self.driver.viewers.presume(play)
+            elif node.last_bytes_at < session.awaited_since:
+                self.ask_for_sign_of_life(node, now)  # it may stand still, and report once it goes on
+            else:
                 del node.unconfirmed[play]
                 self.tear_down(node, play)
                 self.driver.viewers.unreported(play, TEMPORARY_FAILURE)
 
+    def ask_for_sign_of_life(self, node: Node, now: float) -> None:
+        """Have a node that has said nothing answer, once in the time that its reports may take. Whatever it
+        answers counts; the module has not asked for it and is told nothing.
+        """
+        if now - node.asked_at > self.adoption_limits.confirmation_timeout_s:
+            node.asked_at = now
+            self.send_to(node, probe_request(self.new_probe_session()))
+
+    def new_probe_session(self) -> str:
+        """The session id of a request for a load report."""
+        self.probe_count += 1
+        return f"{self.seed:08x}{self.probe_count & 0xFFFFFFFF:08x}"
+
     def event(self, node: str, event) -> None:
         """Does nothing: a node reports on a session on its own connection in order, so no event is early."""
 
--- a/curlewhall/relay/viewers.py
+++ b/curlewhall/relay/viewers.py
@@ -81,6 +81,7 @@
         "active_play",
         "established",
         "unconfirmed_at",
+        "presumed",
     )
 
     def __init__(
@@ -94,6 +95,7 @@
         self.active_play: ActivePlay | None = None
         self.established = False  # it was answered with success, and is not over
         self.unconfirmed_at = ""  # the node that it names and that has not reported it; "" for any other
+        self.presumed = False  # its node's report may be lost: it counts on its viewer's word alone
 
     def client_disconnected(self) -> bool:
         """Whether its viewer has ended the connection or given up, even if that was not handled yet."""
@@ -287,7 +289,9 @@
                 self.handle_message(connection, message)
         for session in list(connection.open_set_ups.values()):
             self.cancel_set_up(session)
-        for session in connection.sessions.values():
+        for session in list(connection.sessions.values()):
+            if session.presumed:
+                self.release_session(session, NORMAL_CLEARING)  # nobody stands by it any more
             session.connection = None
 
     def check_connections(self) -> None:
@@ -560,6 +564,20 @@
         if session is not None:
             session.active_play, session.unconfirmed_at = active_play, ""
 
+    def presume(self, play: str) -> None:
+        """Count an adopted session on its viewer's word alone, as long as the viewer's connection stays."""
+        session = self.sessions.get(play)
+        if session is not None:
+            session.presumed = True
+            if session.connection is None:
+                self.release_session(session, NORMAL_CLEARING)
+
+    def reported(self, play: str) -> None:
+        """A node has sent a message about a session: it runs, or has run."""
+        session = self.sessions.get(play)
+        if session is not None:
+            session.presumed = False
+
     def unreported(self, play: str, cause: int) -> None:
         """Release an adopted session that its node doesn't know. It is hardly a viewer's, so without its own
         connection nobody is told.
--- a/tests/relay/test_adoption.py
+++ b/tests/relay/test_adoption.py
@@ -9,6 +9,7 @@
 
 from curlewhall.codecs.messages import ANSWER, RELEASE
 from curlewhall.relay.decide import AdoptionLimits, SilenceTimeouts
+from curlewhall.standins.platform import abort
 
 STREAMS = 8  # of a node, by the settings of these tests
 UNKNOWN_SESSIONS = 3000  # far more than all nodes have streams
@@ -145,3 +146,60 @@
     limits = AdoptionLimits(settings, timeouts)
     assert limits.accepts(kind, held) is accepted
     assert limits.confirmation_timeout_s == timeouts.usual
+
+
+@looped
+async def test_session_whose_report_was_lost_with_its_connection_is_not_cut(tmp_path, clock):
+    """review/9: a new connection was reset; three paid plays of before were cut 6.5 s later."""
+    async with deployment(tmp_path, nodes=("n0",), clock=clock) as env:
+        node, client = env.platform.nodes["n0"], Client(env)
+        asked = [client.request_play(product="paid", at="n0", patience="0") for _ in range(3)]
+        await env.settle()
+        await env.advance(0.3)  # the way in of a young front
+        (connection,) = node.connections
+        abort(connection)
+        node.sessions |= dict.fromkeys(asked)
+        await env.advance(20.0)
+        assert not env.platform.records_of("cut") and not client.answers(asked[0])
+        assert env.relay.driver.plays.keys() == set(asked)  # they take their seats
+        node.sessions |= dict.fromkeys(asked, next(iter(node.connections)))
+        for session in asked:
+            node.end(session, 16)
+        await env.settle()
+        assert [[m.kind for m in client.answers(session)] for session in asked] == [[RELEASE]] * 3
+        assert not any(sizes(env.relay).values())
+
+
+@looped
+async def test_session_that_counts_on_its_viewer_alone_ends_with_the_connection(tmp_path, clock):
+    """What a client has invented takes no stream of the node for longer than the client stays."""
+    async with deployment(tmp_path, nodes=("n0",), clock=clock) as env:
+        node, client, usual = env.platform.nodes["n0"], Client(env), Client(env)
+        invented, real = (c.request_play(at="n0", patience="0") for c in (client, usual))
+        await env.settle()
+        await env.advance(0.3)
+        abort(next(iter(node.connections)))
+        await env.advance(8.0)
+        assert env.relay.driver.plays.keys() == {invented, real}
+        node.hold(real)
+        await env.settle()
+        client.close()
+        usual.close()
+        await env.settle()
+        assert env.relay.driver.plays.keys() == {real} and env.platform.records_of("cut", invented)
+
+
+@looped
+async def test_session_at_a_node_that_stands_still_is_not_cut(tmp_path, clock):
+    """review/9, by hand: reports that came after 6.9 s found their sessions cut."""
+    async with deployment(tmp_path, nodes=("n0",), clock=clock) as env:
+        node, client = env.platform.nodes["n0"], Client(env)
+        real, node.handle = node.handle, lambda writer, message: None  # it takes all and answers nothing
+        session = client.request_play(at="n0", patience="0")
+        await env.settle()
+        await env.advance(15.0)
+        assert not client.answers(session) and session in env.relay.viewers.sessions
+        node.handle = real
+        node.hold(session)
+        await env.settle()
+        assert env.relay.driver.plays.keys() == {session}
