--- a/curlewhall/relay/decide.py
+++ b/curlewhall/relay/decide.py
@@ -6,7 +6,7 @@
 are seconds. No I/O; no clock is read.
 """
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import Any
 
 from curlewhall.start.decide import Backoff, SeededRandom, fleet_span
@@ -27,6 +27,7 @@
 KILL_MARGIN_S = 0.3  # for the way of the last answers, and for a busy core that handles SIGTERM late
 MAX_OPEN_SET_UPS = 2000  # unanswered at one time, some kB each: far more than usual viewers have
 SUSPECT_SILENCE_S = 3.0  # silence allowed to a node in a zone where a machine may have vanished
+MIN_ZONE_NODES = 2  # nodes with sessions whose common silence may be that of their zone
 
 
 class ChannelBackoff:
@@ -94,6 +95,15 @@
         """Note that a connection to a node there did not come up, or that a set-up had no answer."""
         self.suspected_at[zone] = now
 
+    def zone_test_due(self, silences: Sequence[float]) -> bool:
+        """Whether a zone is to be tested at one of its nodes; `silences`: for how many seconds each of its
+        nodes with sessions has been silent.
+
+        A zone may be lost for less than the usual timeout, and nothing tells its new processes from the old
+        ones. Several nodes that are all silent share their tests: each is tested no more often than alone.
+        """
+        return len(silences) >= MIN_ZONE_NODES and min(silences) > self.suspect
+
     def allowed(self, zone: str, now: float) -> float:
         """The silence allowed to a node of this zone, in seconds."""
         return (
--- a/curlewhall/relay/node_state.py
+++ b/curlewhall/relay/node_state.py
@@ -251,12 +251,17 @@
         lost_at = self.release_lost_at
         return lost_at is not None and all(c.began_at < lost_at for c in self.connections)
 
+    @property
+    def alive_at(self) -> float:
+        """When it last gave a sign of life."""
+        return max(self.last_received, self.last_connected)
+
     def silent_s(self, connection: Connection, now: float) -> float:
         """For how long an open connection may have been dead: since the last byte of its node, or for longer
         if an answer is awaited on it and it alone is silent. A newer connection, on which releases are
         repeated, ends this time.
         """
-        alive_at = max(self.last_received, self.last_connected)
+        alive_at = self.alive_at
         awaited_since = connection.awaited_since()
         if awaited_since is not None:
             # A request proves nothing: it never counts as a later sign of life than the node's own.
--- a/curlewhall/relay/nodes.py
+++ b/curlewhall/relay/nodes.py
@@ -206,6 +206,7 @@
             if self.can_close(connection):
                 self.close_connection(connection)
                 self.note_lost_release(connection.node)
+                self.note_lost_reports(connection.node)
                 return True
         return False
 
@@ -262,10 +263,11 @@
         connection.cancel_timers()
         if transport.was_connected and (why != "closed" or partial):
             self.note_lost_release(node)
+            self.note_lost_reports(node)
         if not transport.was_connected:
             node.failed_connects += 1
         if why == "unreached":
-            self.silence_timeouts.suspect_zone(node.row.zone, time.monotonic())
+            self.suspect_zone(node.row.zone)
         for name in list(connection.probes):
             self.probe_ended(connection, name, "broken" if transport.was_connected else "unreached", {})
         for set_up in list(connection.set_ups.values()):
@@ -316,6 +318,9 @@
         """A connection has ended before what its node had written was read to its end."""
         if node.holds_sessions:
             node.release_lost_at = time.monotonic()
+
+    def note_lost_reports(self, node: Node) -> None:
+        """A connection has ended on which the node may have reported sessions of before this process."""
         for session in node.unconfirmed.values():
             session.report_lost = session.report_lost or session.awaited_since is not None
 
@@ -409,23 +414,52 @@
                 p for p, (_, at) in node.pending_teardowns.items() if now - at > self.connect_timeout_s
             ]:
                 del node.pending_teardowns[play]  # nodes need not acknowledge a TEARDOWN
-            self.resolve_unreported(node, now)
             if node.holds_sessions and node.row.state != "gone":
                 if node.needs_connection():
                     self.ensure_connection(node)
                 self.replace_silent(node, now)
+        self.test_silent_zones(now)
+        for node in list(self.nodes.values()):
+            self.resolve_unreported(node, now)  # last: what it asks must not be lost with a silent connection
         if not self.closed:
             self.timers.after(CHECK_INTERVAL_S, self.check_connections)
 
+    def nodes_with_sessions(self, zone: str) -> list[Node]:
+        """The nodes of a zone at which sessions run."""
+        return [
+            node
+            for node in self.nodes.values()
+            if node.row.zone == zone and node.holds_sessions and node.row.state != "gone"
+        ]
+
+    def test_silent_zones(self, now: float) -> None:
+        """Open a new connection to one node of each zone whose nodes with sessions are all silent."""
+        for zone in {node.row.zone for node in self.nodes.values() if node.holds_sessions}:
+            nodes = self.nodes_with_sessions(zone)
+            if self.silence_timeouts.zone_test_due([now - node.alive_at for node in nodes]):
+                node = min(nodes, key=lambda node: node.alive_at)
+                if all(c.transport.open for c in node.connections):
+                    self.replace_connections(node, node.connections)
+
+    def suspect_zone(self, zone: str) -> None:
+        """A machine there may have vanished: test each node that has been silent for long enough."""
+        now = time.monotonic()
+        self.silence_timeouts.suspect_zone(zone, now)
+        for node in self.nodes_with_sessions(zone):
+            self.replace_silent(node, now)
+
     def replace_silent(self, node: Node, now: float) -> None:
         """Open a new connection to a node with sessions if one of its connections may be dead. It is opened
         after the idle ones are closed: what was written to those is repeated on it.
         """
         allowed_s = self.silence_timeouts.allowed(node.row.zone, now)
         silent = [c for c in node.connections if node.silent_s(c, now) > allowed_s]
-        if not silent or not all(c.transport.open for c in node.connections):
-            return
-        for connection in silent:
+        if silent and all(c.transport.open for c in node.connections):
+            self.replace_connections(node, silent)
+
+    def replace_connections(self, node: Node, silent: list[Connection]) -> None:
+        """Open a new connection to a node in place of the idle ones of these, which may be dead."""
+        for connection in list(silent):
             if self.can_close(connection):
                 self.close_connection(connection)
         self.note_lost_release(node)
--- a/tests/relay/test_adoption.py
+++ b/tests/relay/test_adoption.py
@@ -203,3 +203,17 @@
         node.hold(session)
         await env.settle()
         assert env.relay.driver.plays.keys() == {session}
+
+
+@looped
+async def test_invented_sessions_at_a_quiet_node_are_no_plays(tmp_path, clock):
+    """A silent connection that the front itself replaces loses no report: the node says nothing at all."""
+    async with deployment(tmp_path, nodes=("n0", "n1"), clock=clock) as env:
+        client = Client(env)
+        for i in range(6):
+            client.request_play(at=f"n{i % 2}", patience="0")
+        await env.settle()
+        for _ in range(12):
+            await env.advance(1.0)
+            assert not env.relay.driver.plays
+        assert not any(sizes(env.relay).values())
--- a/tests/relay/test_lost_releases.py
+++ b/tests/relay/test_lost_releases.py
@@ -255,3 +255,67 @@
         assert env.relay.nodes.free_connection() and len(relay_node.connections) == 1
         busy = second if session == first else first
         assert await release_delay(env, client, session, busy) <= RELEASE_LIMIT_S
+
+
+class LostZone:
+    """Machines that vanish for a time: nothing passes on their connections, and new ones don't come up."""
+
+    def __init__(self, env, monkeypatch, names):
+        self.nodes = [env.platform.nodes[name] for name in names]
+        self.ports = {node.port for node in self.nodes}
+        self.connect, self.lost = nodes.connect, True
+        for node in self.nodes:
+            for writer in node.connections:
+                writer.transport.pause_reading()
+        monkeypatch.setattr(nodes, "connect", self.connect_or_wait)
+
+    def connect_or_wait(self, loop, address, owner):
+        transport = self.connect(loop, address, owner)
+        if self.lost and address[1] in self.ports:
+            loop.remove_writer(transport.sock.fileno())  # so that it never counts as up
+        return transport
+
+    def come_back_cold(self):
+        """With new processes, which know nothing of the sessions of before."""
+        self.lost = False
+        for node in self.nodes:
+            node.sessions.clear()
+
+
+@pytest.mark.parametrize("lost_for_s", [5.0, 60.0])
+@looped
+async def test_zone_that_is_lost_for_five_seconds_has_its_viewers_released_in_time(
+    tmp_path, clock, monkeypatch, lost_for_s
+):
+    """review/10: each node was looked at after 6 s, and the new process taken for the old one."""
+    async with deployment(tmp_path, nodes=("n0", "n1"), clock=clock) as env:
+        client = Client(env)
+        standing = []
+        for number in (0, 1):
+            env.relay.driver.module.random_below = lambda bound, number=number: number % bound
+            standing.append(client.request_play())
+            await env.advance(0.1)
+        assert {node for node, _ in env.sent()} == {"n0", "n1"}
+        zone = LostZone(env, monkeypatch, ("n0", "n1"))
+        await env.advance(min(lost_for_s, RELEASE_LIMIT_S))
+        if lost_for_s < RELEASE_LIMIT_S:
+            zone.come_back_cold()
+            await env.advance(RELEASE_LIMIT_S - lost_for_s)
+        assert [[m.kind for m in client.answers(s)][1:] for s in standing] == [[RELEASE]] * 2
+
+
+@looped
+async def test_quiet_zone_that_is_well_costs_no_more_connections_than_its_nodes_alone(tmp_path, clock):
+    """Two silent nodes share their tests: one in 3 s for both, as one in 6 s for each."""
+    async with deployment(tmp_path, nodes=("n0", "n1"), clock=clock) as env:
+        client = Client(env)
+        for number in (0, 1):
+            env.relay.driver.module.random_below = lambda bound, number=number: number % bound
+            client.request_play()
+            await env.advance(0.1)
+        assert {node for node, _ in env.sent()} == {"n0", "n1"}
+        before = len(env.platform.records_of("connected"))
+        await env.advance(60.0)
+        usual_s = env.relay.nodes.silence_timeouts.usual
+        assert len(env.platform.records_of("connected")) - before <= 2 * 60.0 / usual_s
+        assert len(env.relay.viewers.sessions) == 2
