--- a/curlewhall/relay/channel.py
+++ b/curlewhall/relay/channel.py
@@ -1,89 +1,32 @@
 """The command channel: the node list as the configuration has it, then changes as numbered server-sent
 events.
 
-`EventParser` parses the stream without I/O; `Channel` owns the one connection, and reconnects when it breaks
-off or falls silent.
+`Channel` follows one stream, and requests it again when it breaks off or falls silent. A request without an
+answer stays open beside the next one: the channel may be slow, and would never be heard if each were dropped.
 """
 
 import json
-import re
 import time
 from asyncio import AbstractEventLoop
 from typing import Any
 
-from curlewhall.errors import CurlewhallError
 from curlewhall.front.driver import TICKS_PER_SECOND, Driver
 from curlewhall.interface import NodeRow
-from curlewhall.wire.client import Pool, Reply
+from curlewhall.wire.client import PendingRequest, Pool, Reply
 from curlewhall.wire.http import Message, request_bytes
 from curlewhall.wire.timers import Timers
 
-from .decide import ChannelBackoff
+from .decide import MAX_ANSWER_S, ChannelBackoff
+from .event_stream import MAX_EVENT_BYTES, EventError, EventParser
 from .null_objects import Log
 from .start_settings import parse_address
 
 MAX_FAILED_ATTEMPTS = 4  # in a row, until the module is told that the list has failed
-MAX_EVENT_BYTES = 4 << 20  # a whole list of thousands of nodes is half of that
 CONNECT_TIMEOUT_S = 0.5
 MAX_STREAM_S = 86_400.0  # a day; a silent stream ends long before, see `ChannelBackoff.silence_timeout`
-EVENT_NUMBER = re.compile("[0-9]{1,15}")
 NODE_STATES = {"ready": "serving", "draining": "draining", "gone": "gone"}
 
 
-class EventError(CurlewhallError):
-    """An event of the channel is not of its form."""
-
-    remedy = (
-        "Nothing at once: the front asks again from the last whole event, then does without this one; "
-        "look at the channel if it repeats."
-    )
-
-
-class EventParser:
-    """Parses events from fed bytes (WHATWG HTML, server-sent events), as (number, data).
-
-    The number is 0 if it can't be read; the data is None without a number, or if it is too long. Parsing goes
-    on after such an event.
-    """
-
-    __slots__ = ("buffer", "number", "data_lines", "size")
-
-    def __init__(self) -> None:
-        self.buffer = bytearray()
-        self.number = ""
-        self.data_lines: list[str] = []
-        self.size = 0  # bytes of the current event
-
-    def feed(self, piece: bytes) -> list[tuple[int, str | None]]:
-        """Append received bytes and return the events that are complete by now."""
-        found = []
-        self.buffer += piece
-        *lines, rest = self.buffer.split(b"\n")
-        self.buffer = bytearray(rest)
-        for raw in lines:
-            line = bytes(raw).removesuffix(b"\r")
-            if not line:
-                if self.data_lines or self.size > MAX_EVENT_BYTES:
-                    found.append(self.event())
-                self.data_lines, self.number, self.size = [], "", 0
-            elif not line.startswith(b":"):
-                self.size += len(line)
-                name, _, value = line.decode("utf-8", "replace").partition(":")
-                if name == "id":
-                    self.number = value.removeprefix(" ")
-                elif name == "data" and self.size <= MAX_EVENT_BYTES:
-                    self.data_lines.append(value.removeprefix(" "))
-        if self.size + len(self.buffer) > MAX_EVENT_BYTES:
-            # Bounds memory: nothing of the event is kept, and its size marks it as too long at its end.
-            self.size, self.buffer, self.data_lines = MAX_EVENT_BYTES + 1, self.buffer[:1], []
-        return found
-
-    def event(self) -> tuple[int, str | None]:
-        """The event that has just ended."""
-        number = int(self.number) if EVENT_NUMBER.fullmatch(self.number) else 0
-        return number, "\n".join(self.data_lines) if number and self.size <= MAX_EVENT_BYTES else None
-
-
 def parse_members(members: list, clock_offset: int) -> tuple[list[tuple[NodeRow, tuple[str, int]]], int]:
     """Rows and addresses of a node list, and how many of its members are invalid.
 
@@ -112,6 +55,18 @@
     return rows, invalid
 
 
+class Subscription:
+    """A request for the events after a number, and the stream that answers it."""
+
+    __slots__ = ("request", "parser", "first_data_at", "dropping")
+
+    def __init__(self) -> None:
+        self.request: PendingRequest | None = None
+        self.parser = EventParser()
+        self.first_data_at = 0.0  # when the stream first carried data; 0: not yet
+        self.dropping = False  # it is to be dropped; what still comes on it is ignored
+
+
 class Channel:
     """Follows the channel at one address; `switch_to` moves it to another."""
 
@@ -133,16 +88,15 @@
         self.attempts = 0  # since the last valid event
         self.address = address
         self.pool: Pool | None = None
-        self.parser = EventParser()
-        self.stream = None  # the request that carries the events
+        self.stream: Subscription | None = None  # the latest one, or the one that carries the events
+        self.unanswered: Subscription | None = None  # an earlier one without an answer, which may still come
         self.silence_timer = None
+        self.answer_timer = None  # ends the wait for `unanswered`
         self.reconnect_timer = None
         self.switch_timer = None
         self.failing = False  # the module was told that the list has failed
         self.closed = False
-        self.dropping = False  # the stream is to be dropped; what still comes on it is ignored
         self.rerequested = -1  # the event number after which an invalid event was requested once more
-        self.first_data_at = 0.0  # when the stream first carried data; 0: not yet
         start_settings = driver.start_settings
         self.backoff = ChannelBackoff(
             seed,
@@ -191,34 +145,64 @@
         self.reconnect_timer = None
         if self.pool is None:
             self.pool = Pool(self.loop, self.timers, *self.address, connect=CONNECT_TIMEOUT_S)
-        self.parser, self.first_data_at, self.dropping = EventParser(), 0.0, False
         data = request_bytes(
             "GET", "/cmd/next", self.pool.host, last_event_id=str(self.cursor), accept="text/event-stream"
         )
-        pool = self.pool
-        self.stream = pool.request(
-            data, MAX_STREAM_S, lambda reply: self.stream_ended(pool, reply), on_body=self.data_received
+        subscription = self.stream = Subscription()
+        subscription.request = self.pool.request(
+            data,
+            MAX_STREAM_S,
+            lambda reply: self.stream_ended(subscription, reply),
+            on_body=lambda message, piece: self.data_received(subscription, message, piece),
         )
         self.restart_silence_timer()
 
     def restart_silence_timer(self, receiving: bool = False) -> None:
-        """Drop the stream if nothing comes on it for `ChannelBackoff.silence_timeout`."""
+        """Call `stream_silent` if nothing comes on the stream for `ChannelBackoff.silence_timeout`."""
         if self.silence_timer is not None:
             self.silence_timer.cancel()
-        self.silence_timer = self.timers.after(self.backoff.silence_timeout(receiving), self.stream.withdraw)
+        self.silence_timer = self.timers.after(
+            self.backoff.silence_timeout(receiving), self.stream_silent, self.stream
+        )
 
-    def data_received(self, message: Message, piece: bytes) -> None:
-        """Handle a piece of the stream."""
-        if message.status != 200 or self.dropping:
+    def stream_silent(self, subscription: Subscription) -> None:
+        """Drop a stream that has fallen silent. One that has not been answered yet is kept beside the next
+        request, the first of several: each that is dropped costs a slow channel another request.
+        """
+        if subscription.first_data_at or self.unanswered is not None:
+            subscription.request.withdraw()
             return
+        self.unanswered, self.stream = subscription, None
+        self.answer_timer = self.timers.after(MAX_ANSWER_S, subscription.request.withdraw)
+        self.retry_later("silent", 0.0)
+
+    def data_received(self, subscription: Subscription, message: Message, piece: bytes) -> None:
+        """Handle a piece of a stream."""
+        if message.status != 200 or subscription.dropping:
+            return
+        if not subscription.first_data_at:
+            subscription.first_data_at = time.monotonic()
+            self.use_stream(subscription)
         self.restart_silence_timer(receiving=True)
-        self.first_data_at = self.first_data_at or time.monotonic()
-        for number, data in self.parser.feed(piece):
+        for number, data in subscription.parser.feed(piece):
             if not self.handle_event(number, data):
-                self.dropping = True
-                self.timers.after(0, self.stream.withdraw)  # not from within the stream's own call
+                subscription.dropping = True
+                # not from within the stream's own call
+                self.timers.after(0, subscription.request.withdraw)
                 return
 
+    def use_stream(self, subscription: Subscription) -> None:
+        """A stream has begun to carry data: follow it, and drop any other request."""
+        others = [other for other in (self.stream, self.unanswered) if other not in (None, subscription)]
+        self.stream, self.unanswered = subscription, None
+        for timer in (self.reconnect_timer, self.answer_timer):
+            if timer is not None:
+                timer.cancel()
+        self.reconnect_timer = self.answer_timer = None
+        for other in others:
+            other.dropping = True
+            other.request.withdraw()
+
     def handle_event(self, number: int, data: str | None) -> bool:
         """Apply an event. False: the stream is to be dropped, and the events after `cursor` requested again.
 
@@ -265,25 +249,34 @@
             raise EventError(f"event must be a JSON object, not {type(command).__name__}")
         return command
 
-    def stream_ended(self, pool: Pool, reply: Reply) -> None:
-        """Request the events again after a delay; tell the module once that the list has failed."""
-        if pool is not self.pool or self.closed:
-            return
+    def stream_ended(self, subscription: Subscription, reply: Reply) -> None:
+        """Request the events again after a delay, if this was the stream that is followed."""
+        if subscription is self.unanswered:
+            self.unanswered = None
+        elif subscription is self.stream and not self.closed:
+            self.stream = None
+            began = subscription.first_data_at
+            self.retry_later(reply.outcome, time.monotonic() - began if began else 0.0)
+
+    def retry_later(self, how: str, streamed_s: float) -> None:
+        """Request the events again after a delay, since the last request ended as `how` after it had carried
+        data for `streamed_s` seconds; tell the module once that the list has failed.
+        """
         if self.silence_timer is not None:
             self.silence_timer.cancel()
         if self.attempts >= MAX_FAILED_ATTEMPTS and not self.failing:
             self.failing = True
             self.driver.update_nodes("failed", [])
-            self.log.warning("channel can't be reached", how=reply.outcome)
+            self.log.warning("channel can't be reached", how=how)
         self.attempts += 1
-        streamed_s = time.monotonic() - self.first_data_at if self.first_data_at else 0.0
         self.reconnect_timer = self.timers.after(self.backoff.stream_ended(streamed_s), self.subscribe)
 
     def disconnect(self) -> None:
         """Close the connection and stop all timers; `subscribe` connects again."""
-        for timer in (self.silence_timer, self.reconnect_timer, self.switch_timer):
+        for timer in (self.silence_timer, self.answer_timer, self.reconnect_timer, self.switch_timer):
             if timer is not None:
                 timer.cancel()
+        self.stream = self.unanswered = None
         pool, self.pool = self.pool, None
         if pool is not None:
             pool.close()
--- a/curlewhall/relay/decide.py
+++ b/curlewhall/relay/decide.py
@@ -14,6 +14,7 @@
 MAX_CHANNEL_DELAY_S = 0.4  # changes count as known to a front 2 s after a break: time for five attempts
 STREAM_SILENCE_S = 1.6  # a silent event stream is taken for dead; the channel sends a comment each second
 FIRST_EVENT_S = 0.7  # the same until the first bytes of a new stream, the connection included
+MAX_ANSWER_S = 10.0  # that a request waits for the beginning of its answer, while others are made beside it
 STABLE_STREAM_S = 1.0  # a stream that carried data for so long was sound: its end starts the backoff anew
 SWITCH_S_PER_FRONT = 0.005  # the span over which a fleet moves to a new channel grows by this per front
 MAX_SWITCH_S = 1.0
--- a/curlewhall/standins/platform.py
+++ b/curlewhall/standins/platform.py
@@ -252,13 +252,16 @@
 
 
 class Channel:
-    """The command channel, a stream of server-sent events. While `silent`, it accepts requests unanswered."""
+    """The command channel, a stream of server-sent events. While `silent`, it accepts requests unanswered;
+    while `slow`, it answers them in `answer_held` alone.
+    """
 
     def __init__(self) -> None:
         self.events: list[tuple[int, str]] = []  # (number, data)
         self.connections = []
         self.requests = []  # the Last-Event-ID of each request
-        self.silent = False
+        self.silent = self.slow = False
+        self.held = []  # requests not answered yet, as (writer, Last-Event-ID)
         self.server = None
         self.on_request = lambda: None
 
@@ -274,13 +277,27 @@
         last = int(fields["last-event-id"])
         self.requests.append(last)
         self.on_request()
-        if not self.silent:
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: here\n\n")
-            for number, data in self.events:
-                if number > last:
-                    writer.write(self.event(number, data))
+        if self.slow:
+            self.held.append((writer, last))
+        elif not self.silent:
+            self.answer(writer, last)
         self.connections.append(writer)
 
+    def answer(self, writer, last: int) -> None:
+        """Begin a stream with every event after `last`."""
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: here\n\n")
+        for number, data in self.events:
+            if number > last:
+                writer.write(self.event(number, data))
+
+    def answer_held(self) -> bool:
+        """Answer the oldest request that waits; whether its client still had it open."""
+        writer, last = self.held.pop(0)
+        if writer.is_closing():
+            return False
+        self.answer(writer, last)
+        return True
+
     @staticmethod
     def event(number: int, data: str) -> bytes:
         """An event as it is sent."""
--- a/tests/relay/test_channel.py
+++ b/tests/relay/test_channel.py
@@ -266,14 +266,16 @@
         await env.wait_until(lambda: states["n0"].row.state == "draining")
         old.silent = True  # silent from here on
         old.close_connections()
-        await env.wait_until(lambda: env.relay.channel.stream.settled)
+        await env.wait_until(lambda: env.relay.channel.stream is None)
         await env.advance(0.5)
         await env.wait_until(lambda: len(old.requests) == len(requests))
         new = platform.channel = Channel()
         await new.start()
         new.send_event(3, [platform.member("n1", "draining")])
         env.relay.channel.switch_to(("127.0.0.1", new.port))
-        await env.advance(1.0)  # the whole span over which a fleet switches
+        for _ in range(20):  # the whole span over which a fleet switches
+            await env.advance(0.05)
+            await env.wait_until(lambda: len(old.requests) + len(new.requests) == len(requests))
         await env.wait_until(lambda: states["n1"].row.state == "draining")
         assert new.requests == [2]
         old.close()
@@ -298,3 +300,72 @@
         logged = len(env.log_lines)
         await env.advance(5.0)
         assert not any("not used" in line for line in env.log_lines[logged:])
+
+
+@pytest.mark.parametrize("answer_after_s", [2.0, 3.4])
+@looped
+async def test_channel_whose_answers_begin_late_is_heard_within_4_s(tmp_path, clock, answer_after_s):
+    """review/6: each request was dropped after 0.7 or 1.6 s, so no answer was ever read."""
+    async with deployment(tmp_path, clock=clock, nodes=("n0",)) as env:
+        platform, channel, asked_at = env.platform, env.platform.channel, []
+        await env.wait_until(lambda: channel.connections)
+        requests = count_requests(env.relay.channel)
+        channel.on_request = lambda: asked_at.append(clock.now)
+        channel.slow, began = True, clock.now
+        channel.close_connections()
+        channel.send_event(2, [platform.member("n0", "draining")])
+        state = env.relay.driver.module.nodes["n0"].row
+        while clock.now - began < 4.0:
+            await env.advance(0.05)
+            await env.wait_until(lambda: len(channel.requests) == len(requests))
+            while asked_at and clock.now - asked_at[0] >= answer_after_s:
+                asked_at.pop(0)
+                channel.answer_held()
+            await env.settle()
+        await env.wait_until(lambda: env.relay.driver.module.nodes["n0"].row.state == "draining")
+        assert state.state != "draining"  # it was told of meanwhile
+        assert len(channel.requests) <= 4  # no more than a channel that is silent gets
+
+
+@looped
+async def test_request_that_was_answered_late_leaves_no_other_open(tmp_path, clock):
+    """Two streams of one front would cost a crowded channel twice."""
+    async with deployment(tmp_path, clock=clock, nodes=("n0",)) as env:
+        channel = env.platform.channel
+        await env.wait_until(lambda: channel.connections)
+        requests = count_requests(env.relay.channel)
+        channel.slow = True
+        channel.close_connections()
+        while len(channel.requests) < 3:
+            await env.advance(0.05)
+            await env.wait_until(lambda: len(channel.requests) == len(requests))
+        assert channel.answer_held()
+        await env.wait_until(lambda: env.relay.channel.unanswered is None)
+        await env.wait_until(lambda: len(env.relay.channel.pool.requests) == 1)
+        asked = len(channel.requests)
+        for _ in range(10):
+            channel.connections[0].write(b": here\n\n")
+            await env.settle()
+            await env.advance(1.0)
+        assert len(channel.requests) == asked
+
+
+@looped
+async def test_request_that_is_never_answered_is_given_up_for_a_later_one(tmp_path, clock):
+    async with deployment(tmp_path, clock=clock, nodes=("n0",)) as env:
+        channel = env.platform.channel
+        await env.wait_until(lambda: channel.connections)
+        requests = count_requests(env.relay.channel)
+        channel.silent = True
+        channel.close_connections()
+        kept = set()
+        for _ in range(300):
+            await env.advance(0.1)
+            await env.wait_until(lambda: len(channel.requests) == len(requests))
+            assert len(env.relay.channel.pool.requests) <= 2
+            kept.add(env.relay.channel.unanswered)
+        assert len(kept - {None}) >= 2
+        channel.silent = False
+        channel.send_event(2, [env.platform.member("n0", "draining")])
+        await env.advance(4.0)
+        await env.wait_until(lambda: env.relay.driver.module.nodes["n0"].row.state == "draining")
