--- a/curlewhall/relay/decide.py
+++ b/curlewhall/relay/decide.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Mapping, Sequence
+from enum import Enum, auto
 from typing import Any
 
 from curlewhall.start.decide import Backoff, SeededRandom, fleet_span
@@ -119,6 +120,15 @@
     return MAX_OPEN_SET_UPS // max(1, connections)
 
 
+class Unreported(Enum):
+    """What becomes of a session of before this process that its node has not reported."""
+
+    WAIT = auto()  # for the report
+    PRESUME = auto()  # that it runs: nothing shows that it doesn't, and its viewer says that it does
+    ASK = auto()  # the node for a sign of life: it may stand still, and report once it goes on
+    DROP = auto()  # the node has said other things, and doesn't know it
+
+
 class AdoptionLimits:
     """How many sessions of before this process a node may hold, and how long one may go unconfirmed.
 
@@ -136,6 +146,20 @@
         self.fewest_streams = min(self.streams_by_kind.values(), default=1)
         self.confirmation_timeout_s = silence_timeouts.usual
 
+    def decide_unreported(
+        self, awaited_since: float | None, report_lost: bool, last_bytes_at: float, now: float
+    ) -> Unreported:
+        """What to do about a session that its node could report since `awaited_since` (None: it can't yet).
+
+        `report_lost`: a connection of the node has ended since then, and reports are not repeated.
+        `last_bytes_at`: when the node last sent anything.
+        """
+        if awaited_since is None or now - awaited_since <= self.confirmation_timeout_s:
+            return Unreported.WAIT
+        if report_lost:
+            return Unreported.PRESUME
+        return Unreported.ASK if last_bytes_at < awaited_since else Unreported.DROP
+
     def accepts(self, kind: str, held: int) -> bool:
         """Whether a node of this kind that holds so many sessions may hold one more."""
         return held < self.streams_by_kind.get(kind, self.fewest_streams)
--- a/curlewhall/relay/node_state.py
+++ b/curlewhall/relay/node_state.py
@@ -9,7 +9,7 @@
 
 if TYPE_CHECKING:
     from .nodes import Nodes
-    from .viewers import PlayInfo
+    from .set_up_form import PlayInfo
 
 MAX_FAILED_SETUPS = 256  # on a connection until it gets no more: far more than fail in its usual life
 NEVER = float("-inf")
--- a/curlewhall/relay/nodes.py
+++ b/curlewhall/relay/nodes.py
@@ -9,7 +9,6 @@
 
 import time
 from asyncio import AbstractEventLoop
-from typing import TYPE_CHECKING
 
 from curlewhall.codecs import rtsp
 from curlewhall.front.driver import TICKS_PER_SECOND, ActivePlay, Driver
@@ -18,13 +17,11 @@
 from curlewhall.wire.timers import Timers
 from curlewhall.wire.transport import Transport, connect
 
+from .adoption import TEMPORARY_FAILURE, Adoption
 from .decide import AdoptionLimits, NodeConnectDelays, SilenceTimeouts
-from .node_state import ENDING, SENT, WAITING, Connection, Node, QueuedMessage, SetUp, UnconfirmedSession
+from .node_state import ENDING, SENT, WAITING, Connection, Node, QueuedMessage, SetUp
 from .null_objects import Log
 
-if TYPE_CHECKING:
-    from .viewers import PlayInfo
-
 PROBE_TIMEOUT_S = 0.25  # several times what a sound node takes
 NODE_SILENCE_S = 3.0  # a connection silent for so long may be dead, though it is open
 FAILED_CONNECTS_UNTIL_LOST = 2  # in a row, until a node's sessions are taken for ended
@@ -43,7 +40,6 @@
 # release causes (ITU-T Q.850)
 NORMAL_CLEARING = 16
 ENDED_BY_FRONT = 31
-TEMPORARY_FAILURE = 41
 ENDING_BY_CAUSE = {NORMAL_CLEARING: "ok", ENDED_BY_FRONT: "withdrawn"}  # of sessions; any other: "broken"
 
 
@@ -76,7 +72,7 @@
         self.silence_timeouts = SilenceTimeouts(
             CHECK_INTERVAL_S, FAILED_CONNECTS_UNTIL_LOST, self.connect_timeout_s
         )
-        self.adoption_limits = AdoptionLimits(driver.start_settings, self.silence_timeouts)
+        self.adoption = Adoption(self, AdoptionLimits(driver.start_settings, self.silence_timeouts))
         self.connect_delays = NodeConnectDelays(seed, driver.start_settings.get("fronts", 1))
         timers.after(CHECK_INTERVAL_S, self.check_connections)
 
@@ -104,7 +100,7 @@
                 for play in [p for p, began in node.sessions.items() if began < row.started]:
                     self.session_ended(node, play, "broken", TEMPORARY_FAILURE)
                 for play in [p for p, s in node.unconfirmed.items() if s.named_at < row.started]:
-                    self.lose_unconfirmed(node, play)
+                    self.adoption.lose(node, play)
             if address != node.address:
                 node.address = address
                 self.reset_connections(node)
@@ -160,12 +156,7 @@
         for play in list(node.sessions):
             self.session_ended(node, play, "broken", TEMPORARY_FAILURE)
         for play in list(node.unconfirmed):
-            self.lose_unconfirmed(node, play)
-
-    def lose_unconfirmed(self, node: Node, play: str) -> None:
-        """Take an unconfirmed session for ended."""
-        del node.unconfirmed[play]
-        self.driver.viewers.session_ended(play, TEMPORARY_FAILURE)
+            self.adoption.lose(node, play)
 
     def reset_connections(self, node: Node) -> None:
         """End all connections to a node as if the node had reset them."""
@@ -206,7 +197,7 @@
             if self.can_close(connection):
                 self.close_connection(connection)
                 self.note_lost_release(connection.node)
-                self.note_lost_reports(connection.node)
+                self.adoption.reports_lost(connection.node)
                 return True
         return False
 
@@ -238,8 +229,7 @@
         node.failed_connects = 0
         if node.release_lost_at is not None and connection.began_at >= node.release_lost_at:
             node.release_lost_at = None
-        for session in node.unconfirmed.values():
-            session.awaited_since = session.awaited_since or now
+        self.adoption.connection_made(node, now)
         self.send_queued(node, transport)
         for session in connection.probes:
             transport.send(probe_request(session))
@@ -263,7 +253,7 @@
         connection.cancel_timers()
         if transport.was_connected and (why != "closed" or partial):
             self.note_lost_release(node)
-            self.note_lost_reports(node)
+            self.adoption.reports_lost(node)
         if not transport.was_connected:
             node.failed_connects += 1
         if why == "unreached":
@@ -319,11 +309,6 @@
         if node.holds_sessions:
             node.release_lost_at = time.monotonic()
 
-    def note_lost_reports(self, node: Node) -> None:
-        """A connection has ended on which the node may have reported sessions of before this process."""
-        for session in node.unconfirmed.values():
-            session.report_lost = session.report_lost or session.awaited_since is not None
-
     def can_close(self, connection: Connection) -> bool:
         """Whether a connection is not needed, and nothing lies unread on it: what its node has just written,
         such as the end of a session, would be lost.
@@ -420,7 +405,9 @@
                 self.replace_silent(node, now)
         self.test_silent_zones(now)
         for node in list(self.nodes.values()):
-            self.resolve_unreported(node, now)  # last: what it asks must not be lost with a silent connection
+            self.adoption.resolve_unreported(
+                node, now
+            )  # last: what it asks must not be lost with a silent connection
         if not self.closed:
             self.timers.after(CHECK_INTERVAL_S, self.check_connections)
 
@@ -735,7 +722,7 @@
         """Handle a request or a response of a node."""
         node, play = connection.node, message.session
         if message.method and play in node.unconfirmed:
-            self.confirm(node, play)
+            self.adoption.confirm(node, play)
         elif message.method:
             self.driver.viewers.reported(play)
         if message.method == "TEARDOWN":
@@ -821,54 +808,16 @@
         self.driver.viewers.session_ended(play, cause, release_owed)
         self.driver.play_ended(play, how)
 
-    def adopt(self, info: "PlayInfo", name: str) -> bool:
-        """Take over a session that a viewer says was set up before this process began; False if its node is
-        not listed, or has not so many streams.
+    def connect_to_report(self, node: Node) -> None:
+        """Connect to a node, so that it can report its sessions of before this process, after the delay of a
+        young front.
         """
-        node = self.nodes.get(name)
-        if node is None:
-            return False
-        held = len(node.sessions) + len(node.unconfirmed)
-        if not self.adoption_limits.accepts(node.row.kind, held):
-            return False
-        connected = any(c.transport.open for c in node.connections)
-        node.unconfirmed[info.play] = UnconfirmedSession(
-            info, self.driver.clock.now(), time.monotonic() if connected else None
-        )
         if not node.connections and node.reconnect_timer is None:
             node.reconnect_timer = self.timers.after(self.connect_delays.next(), self.reconnect, node)
-        return True
 
-    def confirm(self, node: Node, play: str) -> None:
-        """Its node has reported a session of before this process: from here on it counts as a play."""
-        session = node.unconfirmed.pop(play)
-        node.sessions[play] = session.named_at
-        self.driver.resume_play(session.info, session.info, node.id)
-
-    def resolve_unreported(self, node: Node, now: float) -> None:
-        """Decide on the sessions that a node could have reported for long, and has not."""
-        longest_s = self.adoption_limits.confirmation_timeout_s
-        for play, session in list(node.unconfirmed.items()):
-            if session.awaited_since is None or now - session.awaited_since <= longest_s:
-                continue
-            if session.report_lost:
-                # Nothing shows that it doesn't run, and its viewer says that it does.
-                self.confirm(node, play)
-                self.driver.viewers.presume(play)
-            elif node.last_bytes_at < session.awaited_since:
-                self.ask_for_sign_of_life(node, now)  # it may stand still, and report once it goes on
-            else:
-                del node.unconfirmed[play]
-                self.tear_down(node, play)
-                self.driver.viewers.unreported(play, TEMPORARY_FAILURE)
-
-    def ask_for_sign_of_life(self, node: Node, now: float) -> None:
-        """Have a node that has said nothing answer, once in the time that its reports may take. Whatever it
-        answers counts; the module has not asked for it and is told nothing.
-        """
-        if now - node.asked_at > self.adoption_limits.confirmation_timeout_s:
-            node.asked_at = now
-            self.send_to(node, probe_request(self.new_probe_session()))
+    def ask_for_any_answer(self, node: Node) -> None:
+        """Ask a node for a load report as a sign of life; the module has not asked and is told nothing."""
+        self.send_to(node, probe_request(self.new_probe_session()))
 
     def new_probe_session(self) -> str:
         """The session id of a request for a load report."""
--- a/curlewhall/relay/viewers.py
+++ b/curlewhall/relay/viewers.py
@@ -4,23 +4,21 @@
 owns an established session: its end may be received, and is sent, on another one.
 """
 
-import re
 import socket
 import time
 from asyncio import AbstractEventLoop
-from collections import OrderedDict, deque
-from typing import NamedTuple
+from collections import OrderedDict
 
 from curlewhall.codecs import messages
-from curlewhall.errors import CurlewhallError
 from curlewhall.front.driver import ActivePlay, Driver
-from curlewhall.platform_names import milliseconds_to_ticks
 from curlewhall.wire.timers import Timers
 from curlewhall.wire.transport import Transport
 
 from . import decide
 from .null_objects import Log
 from .recent_sessions import RecentSessions
+from .set_up_form import PlayInfo, SetUpError, SetUpForm
+from .viewer_state import Connection, Session
 
 # 3 s are allowed from the opening of a connection, and a check may come late on a busy core
 MESSAGE_TIMEOUT_S = 2.0  # until a connection's first valid message, or the rest of one that has begun
@@ -36,104 +34,12 @@
 ACCEPT_RETRY_S = 0.05  # until the listener is read again after it ran out of descriptors
 ACCEPTS_PER_TURN = 64  # of the event loop
 MAX_LAST_ACCEPT_TURNS = 64  # before the listener is closed
-MAX_PATIENCE = 10  # times a product's time limit: viewers wait no longer than that limit
 MAX_MOVED_VIEWERS = 1000  # far more than come back at one time
 # causes (ITU-T Q.850)
 NORMAL_CLEARING = 16
 TEMPORARY_FAILURE = 41
 CONGESTION = 42
 INVALID_CONTENTS = 100
-TITLE_ID = re.compile(rb"[0-9a-f]{16}")
-VIEWER_ID = re.compile(r"[0-9a-f]{1,16}")
-NUMBER = re.compile(r"\d{1,9}")
-
-
-class SetUpError(CurlewhallError):
-    """A set-up that can't be accepted; the text says why."""
-
-    remedy = "Look at the client that sent it: its set-up breaks the protocol, and it was refused."
-
-
-class PlayInfo(NamedTuple):
-    """What a set-up says of its play, and where the title is held."""
-
-    play: str
-    product: str
-    viewer: str
-    title: str
-    top: int
-    rung: int
-    first_place: int
-    places: int
-    customer: str = ""
-    number: int = 0
-
-
-class Session:
-    """A play on the viewers' side, from its set-up until it is over: `ActivePlay.exchange` of the driver."""
-
-    __slots__ = (
-        "id",
-        "viewers",
-        "connection",
-        "description",
-        "answer",
-        "active_play",
-        "established",
-        "unconfirmed_at",
-        "presumed",
-    )
-
-    def __init__(
-        self, name: str, viewers: "Viewers", connection: "Connection", description: bytes = b""
-    ) -> None:
-        self.id = name
-        self.viewers = viewers
-        self.connection: Connection | None = connection  # None once it has ended
-        self.description = description  # of the request, for the node
-        self.answer = b""  # the node's description, for the viewer
-        self.active_play: ActivePlay | None = None
-        self.established = False  # it was answered with success, and is not over
-        self.unconfirmed_at = ""  # the node that it names and that has not reported it; "" for any other
-        self.presumed = False  # its node's report may be lost: it counts on its viewer's word alone
-
-    def client_disconnected(self) -> bool:
-        """Whether its viewer has ended the connection or given up, even if that was not handled yet."""
-        return self.connection is None or self.viewers.viewer_gone(self)
-
-
-class Connection:
-    """One connection from viewers. `closing`: it accepts no more set-ups, and is closed once nothing is owed
-    on it; it is still read, so that a release, or its end, is noticed.
-    """
-
-    __slots__ = (
-        "transport",
-        "reader",
-        "received",
-        "handling",
-        "rest_scheduled",
-        "opened_at",
-        "last_active",
-        "partial_since",
-        "open_set_ups",
-        "sessions",
-        "sound",
-        "closing",
-    )
-
-    def __init__(self, now: float) -> None:
-        self.transport: Transport | None = None
-        self.reader = messages.Reader()
-        self.received: deque[messages.Message] = deque()  # read, but not handled yet
-        self.handling = False  # `handle_received` runs for it
-        self.rest_scheduled = False  # `handle_rest` will run for it
-        self.opened_at = self.last_active = now
-        self.partial_since = 0.0  # since when an incomplete message waits for its rest; 0: there is none
-        self.open_set_ups: dict[str, Session] = {}  # owed an answer
-        self.sessions: dict[str, Session] = {}  # established
-        self.sound = False  # a valid set-up or health check came on it
-        self.closing = False
 
 
 class Viewers:
@@ -152,15 +58,7 @@
         self.timers = timers
         self.max_connections = max_connections
         self.log = log
-        start_settings = driver.start_settings
-        floors = start_settings["specifics.floor_by_class"]
-        # product -> its lowest rung, and the longest patience that is accepted
-        self.products = {
-            p["name"]: (floors[i], MAX_PATIENCE * p["time_limit"])
-            for i, p in enumerate(start_settings["products"])
-        }
-        self.places = max(1, start_settings["specifics.places"])
-        self.rungs = len(start_settings["specifics.rung_kb"])
+        self.set_up_form = SetUpForm(driver.start_settings)
         self.connections: dict[Transport, Connection] = {}
         self.sessions: dict[str, Session] = {}
         self.recent_sessions = RecentSessions()  # set-ups that may have run, see `SetUp.settle`
@@ -434,7 +332,7 @@
         name = message.session
         known = self.sessions.get(name)
         try:
-            info, attributes, limit = self.parse_set_up(message)
+            info, attributes, limit = self.set_up_form.parse(message)
         except SetUpError as err:
             self.log.warning("set-up is refused as invalid", session=name, why=err.full_message)
             if known is None or known.connection is not connection:
@@ -487,68 +385,11 @@
         others = sum(bool(c.open_set_ups) for c in self.connections.values() if c is not connection)
         return len(connection.open_set_ups) >= decide.fair_share(1 + others)
 
-    def parse_set_up(self, message: messages.Message) -> tuple[PlayInfo, dict[str, str], int]:
-        """Info, attributes and patience (in ticks) of a set-up; raises `SetUpError` for what the module must
-        not get.
-        """
-        fields = message.fields
-        missing = [
-            code
-            for code in (messages.PRODUCT, messages.TITLE, messages.ATTRIBUTES, messages.DESCRIPTION)
-            if code not in fields
-        ]
-        if missing:
-            raise SetUpError(f"set-up lacks parameters {missing}")
-        if not int(message.session, 16):
-            raise SetUpError("session id must not be 0")
-        product = self.products.get(fields[messages.PRODUCT].decode("latin-1"))
-        if product is None:
-            raise SetUpError(f"product {fields[messages.PRODUCT][:40]!r} is unknown")
-        if not TITLE_ID.fullmatch(fields[messages.TITLE]):
-            raise SetUpError(f"title must be 16 hex digits, not {fields[messages.TITLE][:40]!r}")
-        text = fields[messages.ATTRIBUTES].decode("latin-1")
-        pairs = [part.partition(":") for part in text.split(";") if part]
-        attributes = {key: value for key, _, value in pairs}
-        if len(attributes) != len(pairs) or not VIEWER_ID.fullmatch(attributes.get("viewer", "")):
-            raise SetUpError("attributes must name each key once, and a hexadecimal viewer")
-        home, copies, top = (
-            self.parse_number(attributes.get(key, ""), key) for key in ("home", "copies", "top")
-        )
-        if home >= self.places or not 0 < copies <= self.places or top >= self.rungs:
-            raise SetUpError(
-                f"home {home}, copies {copies} or top {top} is out of range "
-                f"with {self.places} places and {self.rungs} rungs"
-            )
-        patience = 0
-        if "at" not in attributes:
-            patience = milliseconds_to_ticks(
-                self.parse_number(fields.get(messages.PATIENCE, b"").decode("latin-1"), "patience")
-            )
-            if not 0 < patience <= product[1]:
-                raise SetUpError(f"patience must be above 0 and at most {product[1] // 10} ms")
-        info = PlayInfo(
-            message.session,
-            fields[messages.PRODUCT].decode("latin-1"),
-            attributes["viewer"],
-            fields[messages.TITLE].decode("latin-1"),
-            top,
-            product[0],
-            home,
-            copies,
-        )
-        return info, attributes, patience
-
-    def parse_number(self, text: str, name: str) -> int:
-        """A number of a set-up; raises `SetUpError`, which names it, if `text` is none."""
-        if not NUMBER.fullmatch(text):
-            raise SetUpError(f"{name} must be a number of at most 9 digits, not {text[:40]!r}")
-        return int(text)
-
     def resume(self, connection: Connection, info: PlayInfo, node: str) -> None:
         """Adopt a session that, by its set-up, runs at a node already. It gets no answer, but a release if it
         can't run there. The driver makes it a play once its node has reported it.
         """
-        if not self.driver.nodes.adopt(info, node):
+        if not self.driver.nodes.adoption.adopt(info, node):
             self.log.warning("existing session can't run at the node that it names", node=node[:40])
             connection.transport.send(
                 messages.encode(messages.RELEASE, info.play, cause=bytes((TEMPORARY_FAILURE,)))
--- a/curlewhall/wire/connection.py
+++ b/curlewhall/wire/connection.py
@@ -333,8 +333,8 @@
             self.writing = False
         self.flush()
 
-    def hand_over(self, receiver: Callable[[socket.socket, bytes], None], data: bytes) -> None:
-        """Give the connection, and `data` read of its next request, to another server."""
+    def leave_server(self) -> None:
+        """Remove this connection from all that the server keeps of it."""
         self.closed = True
         self.server.connections.discard(self)
         self.parser.close()
@@ -342,6 +342,10 @@
         self.update_memory()
         if self.timeout is not None:
             self.timeout.cancel()
+
+    def hand_over(self, receiver: Callable[[socket.socket, bytes], None], data: bytes) -> None:
+        """Give the connection, and `data` read of its next request, to another server."""
+        self.leave_server()
         receiver(self.sock, data)
 
     def abort(self) -> None:
@@ -354,13 +358,7 @@
         """Close, and call `on_disconnect` of each exchange whose response is not complete."""
         if self.closed:
             return
-        self.closed = True
-        self.server.connections.discard(self)
-        self.parser.close()
-        self.update_idle()
-        self.update_memory()
-        if self.timeout is not None:
-            self.timeout.cancel()
+        self.leave_server()
         unfinished = [ex for ex in self.exchanges if not ex.finished]
         self.exchanges.clear()
         self.pipeline_space.set()
--- a/tests/relay/deployment.py
+++ b/tests/relay/deployment.py
@@ -119,6 +119,29 @@
     return message.fields[messages.CAUSE][0]
 
 
+class UnreachableNodes:
+    """Machines of nodes that have vanished: new connections to them never come up, until `end`. `silent`:
+    what was written on the open ones is not read, either.
+    """
+
+    def __init__(self, env, monkeypatch, names, silent=False):
+        self.ports = {env.platform.nodes[name].port for name in names}
+        self.connect = nodes.connect
+        monkeypatch.setattr(nodes, "connect", self.connect_or_wait)
+        for name in names if silent else ():
+            for writer in env.platform.nodes[name].connections:
+                writer.transport.pause_reading()
+
+    def connect_or_wait(self, loop, address, owner):
+        transport = self.connect(loop, address, owner)
+        if address[1] in self.ports:
+            loop.remove_writer(transport.sock.fileno())  # so that it never counts as up
+        return transport
+
+    def end(self):
+        self.ports = set()
+
+
 class RelayWrites:
     """Records in `platform.traffic` what the relay writes to its nodes, in the order in which it writes."""
 
--- a/tests/relay/test_lost_answers.py
+++ b/tests/relay/test_lost_answers.py
@@ -2,10 +2,9 @@
 
 import pytest
 from loopback import looped
-from relay.deployment import Client, cause, deployment
+from relay.deployment import Client, UnreachableNodes, cause, deployment
 
 from curlewhall.codecs.messages import ANSWER
-from curlewhall.relay import nodes
 
 TEMPORARY_FAILURE = 41
 
@@ -67,15 +66,7 @@
         session = client.request_play()
         await env.settle()
         (first,) = {node for node, _ in env.sent(session)}
-        real, port = nodes.connect, env.platform.nodes[first].port
-
-        def connect(loop, address, owner):
-            transport = real(loop, address, owner)
-            if address[1] == port:
-                loop.remove_writer(transport.sock.fileno())  # so that it never counts as up
-            return transport
-
-        monkeypatch.setattr(nodes, "connect", connect)
+        UnreachableNodes(env, monkeypatch, (first,))
         for node in env.platform.nodes.values():
             node.behaviour = "serve"
         env.platform.nodes[first].reset()
--- a/tests/relay/test_lost_releases.py
+++ b/tests/relay/test_lost_releases.py
@@ -2,7 +2,7 @@
 
 import pytest
 from loopback import looped
-from relay.deployment import Client, deployment, set_up
+from relay.deployment import Client, UnreachableNodes, deployment, set_up
 
 from curlewhall.codecs.messages import RELEASE
 from curlewhall.relay import nodes
@@ -109,23 +109,6 @@
         assert await release_delay(env, client, first, second) <= RELEASE_LIMIT_S
 
 
-class VanishedMachine:
-    """The machine of node `n0`: its connections stay open and silent, and new ones never come up."""
-
-    def __init__(self, env, monkeypatch):
-        node, self.connect = env.platform.nodes["n0"], nodes.connect
-        self.port = node.port
-        for writer in node.connections:
-            writer.transport.pause_reading()
-        monkeypatch.setattr(nodes, "connect", self.connect_or_wait)
-
-    def connect_or_wait(self, loop, address, owner):
-        transport = self.connect(loop, address, owner)
-        if address[1] == self.port:
-            loop.remove_writer(transport.sock.fileno())  # so that it never counts as up
-        return transport
-
-
 @pytest.mark.parametrize("asked_after_s", [0.5, 2.9, 4.7, 5.7])
 @pytest.mark.parametrize("patience", ["1000", "4000", "25000"])
 @looped
@@ -138,7 +121,7 @@
         standing = client.request_play()
         await env.advance(0.1)
         assert standing in env.relay.viewers.sessions
-        VanishedMachine(env, monkeypatch)
+        UnreachableNodes(env, monkeypatch, ("n0",), silent=True)
         await env.advance(asked_after_s)
         client.send(set_up("c" * 16, "paid", patience))
         await env.advance(RELEASE_LIMIT_S - asked_after_s)
@@ -257,31 +240,6 @@
         assert await release_delay(env, client, session, busy) <= RELEASE_LIMIT_S
 
 
-class LostZone:
-    """Machines that vanish for a time: nothing passes on their connections, and new ones don't come up."""
-
-    def __init__(self, env, monkeypatch, names):
-        self.nodes = [env.platform.nodes[name] for name in names]
-        self.ports = {node.port for node in self.nodes}
-        self.connect, self.lost = nodes.connect, True
-        for node in self.nodes:
-            for writer in node.connections:
-                writer.transport.pause_reading()
-        monkeypatch.setattr(nodes, "connect", self.connect_or_wait)
-
-    def connect_or_wait(self, loop, address, owner):
-        transport = self.connect(loop, address, owner)
-        if self.lost and address[1] in self.ports:
-            loop.remove_writer(transport.sock.fileno())  # so that it never counts as up
-        return transport
-
-    def come_back_cold(self):
-        """With new processes, which know nothing of the sessions of before."""
-        self.lost = False
-        for node in self.nodes:
-            node.sessions.clear()
-
-
 @pytest.mark.parametrize("lost_for_s", [5.0, 60.0])
 @looped
 async def test_zone_that_is_lost_for_five_seconds_has_its_viewers_released_in_time(
@@ -296,10 +254,12 @@
             standing.append(client.request_play())
             await env.advance(0.1)
         assert {node for node, _ in env.sent()} == {"n0", "n1"}
-        zone = LostZone(env, monkeypatch, ("n0", "n1"))
+        zone = UnreachableNodes(env, monkeypatch, ("n0", "n1"), silent=True)
         await env.advance(min(lost_for_s, RELEASE_LIMIT_S))
         if lost_for_s < RELEASE_LIMIT_S:
-            zone.come_back_cold()
+            zone.end()
+            for node in env.platform.nodes.values():
+                node.sessions.clear()  # new processes, which know nothing of before
             await env.advance(RELEASE_LIMIT_S - lost_for_s)
         assert [[m.kind for m in client.answers(s)][1:] for s in standing] == [[RELEASE]] * 2
 
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -6,7 +6,7 @@
 
 import pytest
 from loopback import looped
-from relay.deployment import RelayWrites, cause, deployment, overlapping
+from relay.deployment import RelayWrites, UnreachableNodes, cause, deployment, overlapping
 
 from curlewhall.codecs import messages
 from curlewhall.codecs.messages import ANSWER, DESCRIPTION, RELEASE
@@ -273,20 +273,12 @@
     monkeypatch.setattr(nodes, "CHECK_INTERVAL_S", 0.05)
     monkeypatch.setattr(decide, "SESSION_END_DEADLINE_S", 1.5)
     async with deployment(tmp_path, nodes=("n0", "n1"), permissions__idle_close_ms=1e7) as env:
-        viewer, real = await env.platform.viewer(env.port), nodes.connect
+        viewer = await env.platform.viewer(env.port)
         asked = [viewer.request_play(at=f"n{i % 2}", patience="0") for i in range(4)]
         for i, session in enumerate(asked):
             env.platform.nodes[f"n{i % 2}"].hold(session)
         await env.wait_until(lambda: env.relay.driver.plays.keys() == set(asked))
-        port = env.platform.nodes["n0"].port
-
-        def connect(loop, address, owner):
-            line = real(loop, address, owner)
-            if address[1] == port:
-                loop.remove_writer(line.sock.fileno())  # so that it never counts as up
-            return line
-
-        monkeypatch.setattr(nodes, "connect", connect)
+        UnreachableNodes(env, monkeypatch, ("n0",))
         for session in asked[::2]:
             assert cause(await viewer.wait_for_message(session)) == 41
         assert env.relay.driver.plays.keys() == set(asked[1::2])
--- a/tests/relay/test_relay_decide.py
+++ b/tests/relay/test_relay_decide.py
@@ -10,9 +10,11 @@
     MAX_NODE_CONNECT_S,
     MAX_SWITCH_S,
     SESSION_END_DEADLINE_S,
+    AdoptionLimits,
     ChannelBackoff,
     NodeConnectDelays,
     SilenceTimeouts,
+    Unreported,
 )
 
 
@@ -111,3 +113,32 @@
             count[(front * 7 + i * 11) % 135, int(delay * 10)] += 1
     assert max(count.values()) <= 8  # in 100 ms at one node; without delays it would be 24
     assert max(NodeConnectDelays(front, 2).next() for front in range(100)) <= 0.02
+
+
+@pytest.mark.parametrize(
+    ("silences", "due"),
+    [([], False), ([9.0], False), ([3.1, 3.1], True), ([3.1, 2.9], False), ([3.1, 9.0, 4.0], True)],
+)
+def test_zone_is_tested_only_if_several_nodes_with_sessions_are_all_silent(silences, due):
+    """review/10. One silent node is looked at by itself; one that has spoken shows that its zone is there."""
+    assert SilenceTimeouts(0.5, 2, 0.25).zone_test_due(silences) is due
+
+
+@pytest.mark.parametrize(
+    ("awaited_since", "report_lost", "last_bytes_at", "wanted"),
+    [
+        (None, False, 0.0, "WAIT"),  # no connection has come up yet
+        (95.0, True, 99.0, "WAIT"),  # there is time left
+        (90.0, False, 95.0, "DROP"),  # the node has said other things
+        (90.0, False, 89.0, "ASK"),  # it has said nothing since: it may stand still
+        (90.0, True, 95.0, "PRESUME"),  # review/9: the report may be lost
+        (90.0, True, 89.0, "PRESUME"),
+    ],
+)
+def test_unreported_session_is_dropped_only_if_its_node_could_report_it(
+    awaited_since, report_lost, last_bytes_at, wanted
+):
+    settings = {"kinds": ["box"], "specifics.kind_streams": [8]}
+    limits = AdoptionLimits(settings, SilenceTimeouts(0.5, 2, 0.25))
+    found = limits.decide_unreported(awaited_since, report_lost, last_bytes_at, 100.0)
+    assert found is Unreported[wanted]
