--- a/curlewhall/relay/event_stream.py
+++ b/curlewhall/relay/event_stream.py
@@ -2,6 +2,7 @@
 
 import re
 
+from curlewhall.codecs.lines import LineBuffer
 from curlewhall.errors import CurlewhallError
 
 MAX_EVENT_BYTES = 4 << 20  # a whole list of thousands of nodes is half of that
@@ -27,7 +28,7 @@
     __slots__ = ("buffer", "number", "data_lines", "size")
 
     def __init__(self) -> None:
-        self.buffer = bytearray()
+        self.buffer = LineBuffer()
         self.number = ""
         self.data_lines: list[str] = []
         self.size = 0  # bytes of the current event
@@ -35,11 +36,8 @@
     def feed(self, piece: bytes) -> list[tuple[int, str | None]]:
         """Append received bytes and return the events that are complete by now."""
         found = []
-        self.buffer += piece
-        *lines, rest = self.buffer.split(b"\n")
-        self.buffer = bytearray(rest)
-        for raw in lines:
-            line = bytes(raw).removesuffix(b"\r")
+        for raw in self.buffer.feed(piece):
+            line = raw.removesuffix(b"\r")
             if not line:
                 if self.data_lines or self.size > MAX_EVENT_BYTES:
                     found.append(self.event())
@@ -53,7 +51,8 @@
                     self.data_lines.append(value.removeprefix(" "))
         if self.size + len(self.buffer) > MAX_EVENT_BYTES:
             # Bounds memory: nothing of the event is kept, and its size marks it as too long at its end.
-            self.size, self.buffer, self.data_lines = MAX_EVENT_BYTES + 1, self.buffer[:1], []
+            self.size, self.data_lines = MAX_EVENT_BYTES + 1, []
+            self.buffer.truncate(1)
         return found
 
     def event(self) -> tuple[int, str | None]:
--- a/curlewhall/wire/forms.py
+++ b/curlewhall/wire/forms.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from curlewhall.codecs.lines import LineBuffer
 from curlewhall.errors import CurlewhallError
 
 MAX_LINE_BYTES = 4 << 20  # of a stream: a hello with 10,000 plays has half as many
@@ -203,11 +204,11 @@
     """Splits a stream into lines; `DecodeError` if one is longer than MAX_LINE_BYTES."""
 
     def __init__(self) -> None:
-        self.rest = b""
+        self.buffer = LineBuffer()
 
     def feed(self, data: bytes) -> list[bytes]:
         """The lines that `data` completes, without empty ones."""
-        *lines, self.rest = (self.rest + data).split(b"\n")
-        if len(self.rest) > MAX_LINE_BYTES:
+        lines = self.buffer.feed(data)
+        if len(self.buffer) > MAX_LINE_BYTES:
             raise DecodeError(f"a line of more than {MAX_LINE_BYTES} bytes")
         return [line for line in lines if line]
