--- a/curlewhall/wire/connection.py
+++ b/curlewhall/wire/connection.py
@@ -109,7 +109,7 @@
         self.last_request_read = False  # later bytes are discarded
         self.timed_request: Message | None = None  # the partial request that the read timeout is for
         self.pipeline_space = asyncio.Event()
-        self.timeout = self.write_timeout = None
+        self.timeout = None
         self.reader = server.loop.create_task(self.read())
         self.writer = None
         self.update_idle()
