Relay: the end of an abandoned set-up is told again if its connection is cut

Change: if the connection is cut while the TEARDOWN is not acknowledged, or nothing has come on it since, it is sent again on another one, unless the play is out at that node once more.

--- a/curlewhall/relay/nodes.py
+++ b/curlewhall/relay/nodes.py
@@ -270,12 +270,29 @@
                 self.start_set_up(set_up)
             else:
                 set_up.settle("unreached", {})
+        cut = transport.was_connected and (why != "closed" or partial)
         for play in [play for play, abandoned in connection.failed_plays.items() if abandoned]:
-            self.teardown_acknowledged(node, play)  # the node hears of the end, at the latest, with this
+            self.abandoned_connection_lost(connection, play, cut)
         if not transport.was_connected:
             self.settle_lost_set_ups(node)
         self.ensure_connection(node)
 
+    def abandoned_connection_lost(self, connection: Connection, play: str, cut: bool) -> None:
+        """The connection of a set-up that was given up has ended; `cut`: otherwise than by the node's close.
+
+        The node hears of the end, at the latest, with a close. But a TEARDOWN may be lost with a connection
+        that is cut, and the session stand there, if its answer was on the way. So it is sent again, unless
+        the play is out at this node once more, which it would end.
+        """
+        node = connection.node
+        unheard = play in node.pending_teardowns or connection.doubted_since is not None
+        out_again = play in node.sessions or any(play in c.set_ups for c in node.connections)
+        if cut and unheard and not out_again:
+            node.pending_teardowns.pop(play, None)
+            self.tear_down(node, play)
+        else:
+            self.teardown_acknowledged(node, play)
+
     def end_lost_set_up(self, set_up: SetUp, how: str) -> None:
         """End a set-up that was sent on a connection that has ended; it is settled as `how`.
 
--- a/tests/relay/test_lost_answers.py
+++ b/tests/relay/test_lost_answers.py
@@ -5,6 +5,7 @@
 from relay.deployment import Client, UnreachableNodes, cause, deployment
 
 from curlewhall.codecs.messages import ANSWER
+from curlewhall.standins.platform import abort
 
 TEMPORARY_FAILURE = 41
 
@@ -101,3 +102,18 @@
         node.setup_connections[first].transport.pause_reading()  # from here on nothing passes on it
         await env.advance(1.1)
         assert [row for row in env.platform.traffic if row[2] == first and row[1] in ("cut", "given up")]
+
+
+@looped
+async def test_end_of_a_set_up_that_is_lost_with_its_connection_is_told_again(tmp_path):
+    """Its viewer left while the answer was lost: the TEARDOWN went out on a connection that was reset."""
+    async with deployment(tmp_path, nodes=("n0",), behaviour="silent") as env:
+        client, node = Client(env), env.platform.nodes["n0"]
+        session = client.request_play()
+        await env.wait_until(lambda: env.sent(session))
+        node.sessions[session] = node.setup_connections[session]
+        node.record("answered", session)
+        abort(node.setup_connections[session])  # not read by the relay yet
+        env.relay.driver.viewer_left(env.relay.driver.plays[session])
+        await env.wait_until(lambda: env.platform.records_of("cut", session))
+        assert not env.platform.running_sessions()
